--- a/lib/call/answer.go
+++ b/lib/call/answer.go
@@ -1,6 +1,10 @@
 package call
 
-import "tamarackrudder.org/lib/verd"
+import (
+	"time"
+
+	"tamarackrudder.org/lib/verd"
+)
 
 // Pressure tells whether a service admits a class, or lets it wait behind higher ones. A service that is mentioned
 // admits every class that it is not said to hold back.
@@ -42,6 +46,8 @@
 	inFlight  int
 	proven    bool
 	shed      bool
+	load      float64
+	comeBack  time.Duration
 }
 
 // NewAnswer returns a whole answer of a backend server.
@@ -73,6 +79,18 @@
 // Shed reports whether a deeper call of the request was refused for load.
 func (a Answer) Shed() bool { return a.shed }
 
+// WithLoad returns the answer with the share of its slots that the backend server says are taken, negative for unknown.
+func (a Answer) WithLoad(load float64) Answer { a.load = load; return a }
+
+// Load returns the share of its slots that the backend server says are taken, negative for unknown.
+func (a Answer) Load() float64 { return a.load }
+
+// WithComeBack returns the refusal with how long its caller should wait before it comes back.
+func (a Answer) WithComeBack(after time.Duration) Answer { a.comeBack = after; return a }
+
+// ComeBack returns how long the caller should wait before it comes back, zero where nothing is known.
+func (a Answer) ComeBack() time.Duration { return a.comeBack }
+
 // Verdict returns whether the request ran.
 func (a Answer) Verdict() verd.Verdict { return a.verdict }
 
--- a/lib/call/request.go
+++ b/lib/call/request.go
@@ -41,6 +41,11 @@
 	parent        string
 	suspect       bool
 	fresh         bool
+	host          string
+	caller        string
+	deeper        bool
+	goal          time.Duration
+	instance      string
 }
 
 // NewRequest returns a request for a path, with a query or an empty string.
@@ -90,6 +95,21 @@
 // WithFresh returns the request with its caller's word that no earlier attempt with the same key may have run.
 func (r Request) WithFresh(fresh bool) Request { r.fresh = fresh; return r }
 
+// WithHost returns the request with the host name that its caller asked for.
+func (r Request) WithHost(host string) Request { r.host = host; return r }
+
+// WithCaller returns the request with the service of the host where it began.
+func (r Request) WithCaller(service string) Request { r.caller = service; return r }
+
+// WithDeeper returns the request marked as a call of the backend server beside the node that it entered.
+func (r Request) WithDeeper(deeper bool) Request { r.deeper = deeper; return r }
+
+// WithInstance returns the request meant for one start of the backend server, empty for any.
+func (r Request) WithInstance(instance string) Request { r.instance = instance; return r }
+
+// WithGoal returns the request with the time within which its answer is worth most, zero where none is known.
+func (r Request) WithGoal(goal time.Duration) Request { r.goal = goal; return r }
+
 // ID returns the identifier used in logs and cancellation.
 func (r Request) ID() string { return r.id }
 
@@ -144,6 +164,24 @@
 // Fresh reports whether its caller says that no earlier attempt with the same key may have run.
 func (r Request) Fresh() bool { return r.fresh }
 
+// Host returns the host name that the caller asked for, empty for any.
+func (r Request) Host() string { return r.host }
+
+// Caller returns the service of the host where the request began, empty where it is not known.
+func (r Request) Caller() string { return r.caller }
+
+// Deeper reports whether a backend server sent the request while it ran another one.
+func (r Request) Deeper() bool { return r.deeper }
+
+// Instance returns the start of the backend server that the request is meant for, empty for any.
+func (r Request) Instance() string { return r.instance }
+
+// Goal returns the time within which the answer is worth most.
+func (r Request) Goal() time.Duration { return r.goal }
+
+// Deduped reports whether the request must run at most once over all attempts with its key.
+func (r Request) Deduped() bool { return r.nonIdempotent && r.key != "" }
+
 // mayHaveRunBefore reports whether an earlier attempt at a non-idempotent request may have run; before a request is
 // routed, its key and method tell what it may be.
 func (r Request) mayHaveRunBefore() bool {
--- /dev/null
+++ b/lib/conns/quiet.go
@@ -0,0 +1,28 @@
+package conns
+
+import (
+	"errors"
+	"net"
+	"syscall"
+)
+
+// isQuiet reports whether an idle connection is open and has nothing to read: bytes that nobody asked for, or its end,
+// would else be taken for the next answer.
+func isQuiet(c net.Conn) bool {
+	raw, ok := c.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = control.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, peekErr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(peekErr, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
--- a/lib/front/front.go
+++ b/lib/front/front.go
@@ -79,7 +79,7 @@
 	key := h.Header.Get(HeaderKey)
 	r := call.NewRequest(c.seams.NewID(), h.Method, h.URL.EscapedPath(), h.URL.RawQuery).
 		WithKey(key).WithFresh(h.Header.Get(HeaderFresh) == "true")
-	body, err := io.ReadAll(http.MaxBytesReader(nil, h.Body, MaxBody))
+	body, err := ReadBody(h, MaxBody)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return r, refuse(verd.ReasonBodyTooLarge)
@@ -94,7 +94,7 @@
 	if len(key) > maxKeyBytes {
 		return r, refuse(verd.ReasonKeyUnreadable)
 	}
-	r = r.WithBody(body).WithFields(requestFields(h.Header)).WithTimeout(timeout)
+	r = r.WithBody(body).WithFields(EndToEnd(h.Header, isOwnField)).WithTimeout(timeout)
 	return r.WithTenant(h.Header.Get(HeaderTenant)).WithParent(h.Header.Get(HeaderContext)), nil
 }
 
@@ -114,11 +114,23 @@
 	return time.Duration(ms) * time.Millisecond, nil
 }
 
-// requestFields keeps the end-to-end header fields of a request.
-func requestFields(header http.Header) []call.Field {
+// ReadBody reads a request's whole body, at most so many bytes.
+func ReadBody(h *http.Request, most int64) ([]byte, error) {
+	if h.ContentLength == 0 {
+		return nil, nil
+	}
+	return io.ReadAll(http.MaxBytesReader(nil, h.Body, most))
+}
+
+func isOwnField(name string) bool {
+	return strings.HasPrefix(name, ownHeaderPrefix) || name == HeaderKey
+}
+
+// EndToEnd returns the header fields of a request that concern more than one connection, without those to be left out.
+func EndToEnd(header http.Header, without func(name string) bool) []call.Field {
 	var fields []call.Field
 	for name, values := range header {
-		if isConnectionField(name) || strings.HasPrefix(name, ownHeaderPrefix) || name == HeaderKey {
+		if isConnectionField(name) || without(name) {
 			continue
 		}
 		for _, value := range values {
@@ -137,22 +149,27 @@
 	return false
 }
 
-// write sends an answer with its length, so that a cut one is never taken for whole.
-func write(ec echo.Context, id string, a call.Answer) error {
+// WriteWhole sends the answer of a backend server with its length, so that a cut one is never taken for whole.
+func WriteWhole(ec echo.Context, a call.Answer, without func(name string) bool) error {
 	header := ec.Response().Header()
 	for _, f := range a.Fields() {
-		if !strings.HasPrefix(f.Name(), ownHeaderPrefix) {
-			header.Add(f.Name(), f.Value())
+		if !without(f.Name()) {
+			header[f.Name()] = append(header[f.Name()], f.Value())
 		}
 	}
+	header.Set(echo.HeaderContentLength, strconv.Itoa(len(a.Body())))
+	ec.Response().WriteHeader(a.Status())
+	_, err := ec.Response().Write(a.Body())
+	return wrap(err)
+}
+
+func write(ec echo.Context, id string, a call.Answer) error {
+	header := ec.Response().Header()
 	v := a.Verdict()
 	header.Set(HeaderRequest, id)
 	header.Set(HeaderVerdict, string(v.Kind()))
 	if v.HasRun() {
-		header.Set(echo.HeaderContentLength, strconv.Itoa(len(a.Body())))
-		ec.Response().WriteHeader(a.Status())
-		_, err := ec.Response().Write(a.Body())
-		return wrap(err)
+		return WriteWhole(ec, a, isOwnField)
 	}
 	header.Set(HeaderReason, string(v.Reason()))
 	if v.IsOverload() || v.Reason() == verd.ReasonLeaving {
--- a/lib/hosts/hosts.go
+++ b/lib/hosts/hosts.go
@@ -7,6 +7,7 @@
 	"net"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -21,6 +22,11 @@
 	zone    string
 	rpcAddr string
 	leaving bool
+	// instance names the one start of the backend server, empty where the platform tells none.
+	instance string
+	slots    int
+	started  time.Time
+	warmAt   time.Time
 }
 
 // NewEndpoint returns an endpoint; its node listens for peers at the given IP address and port.
@@ -40,6 +46,33 @@
 // RPCAddr returns the address at which its node listens for peers; it identifies the endpoint.
 func (e Endpoint) RPCAddr() string { return e.rpcAddr }
 
+// WithInstance returns the endpoint with the name of the one start of its backend server, and when that was.
+func (e Endpoint) WithInstance(instance string, started time.Time) Endpoint {
+	e.instance, e.started = instance, started
+	return e
+}
+
+// WithSlots returns the endpoint with how many requests its backend server can run at once.
+func (e Endpoint) WithSlots(slots int) Endpoint { e.slots = slots; return e }
+
+// WithWarmAt returns the endpoint with the wall time from which its backend server is no longer slow after its start.
+func (e Endpoint) WithWarmAt(at time.Time) Endpoint { e.warmAt = at; return e }
+
+// WithLeaving returns the endpoint listed as leaving.
+func (e Endpoint) WithLeaving() Endpoint { e.leaving = true; return e }
+
+// Instance returns the name of the one start of the backend server, empty where it is not known.
+func (e Endpoint) Instance() string { return e.instance }
+
+// Started returns the wall time at which the backend server started, zero where it is not known.
+func (e Endpoint) Started() time.Time { return e.started }
+
+// Slots returns how many requests the backend server can run at once, zero where it is not known.
+func (e Endpoint) Slots() int { return e.slots }
+
+// WarmAt returns the wall time from which the backend server is no longer slow after its start.
+func (e Endpoint) WarmAt() time.Time { return e.warmAt }
+
 // Leaving reports whether the platform says that the host is leaving.
 func (e Endpoint) Leaving() bool { return e.leaving }
 
--- a/lib/node/attempt.go
+++ b/lib/node/attempt.go
@@ -25,7 +25,7 @@
 		e.shed = e.shed || a.Shed()
 		switch {
 		case v.HasRun():
-			n.buckets.Earn(e.route.Name())
+			n.buckets.Earn(e.request.Service())
 			return a
 		case isRedirect(v):
 			if e.redirects >= maxRedirects || !n.waitWithin(ctx, e, pause) {
@@ -44,7 +44,7 @@
 // isRedirect reports whether a refusal came before any backend server was reached and another node may serve.
 func isRedirect(v verd.Verdict) bool {
 	switch v.Reason() {
-	case verd.ReasonLeaving, verd.ReasonNotOwner, verd.ReasonNoLease, verd.ReasonNoRules, verd.ReasonPeerUnreachable,
+	case verd.ReasonLeaving, verd.ReasonNotOwner, verd.ReasonBackendReplaced, verd.ReasonNoLease, verd.ReasonNoRules, verd.ReasonPeerUnreachable,
 		verd.ReasonBackendDown:
 		return v.IsNotRun()
 	}
@@ -64,7 +64,7 @@
 	default:
 		return false
 	}
-	return e.ledger.Left() > 0 && n.buckets.Take(e.route.Name()) && e.ledger.Spend()
+	return e.ledger.Left() > 0 && n.buckets.Take(e.request.Service()) && e.ledger.Spend()
 }
 
 // waitWithin waits unless the deadline would come first; the refusal at hand then reaches the caller in time.
@@ -121,7 +121,7 @@
 // the request's own deadline, since an endpoint that is only slow may still make it.
 func (n *Node) sendPatiently(ctx context.Context, e *entry, addr string, handed int) call.Answer {
 	r := e.request.WithAllowance(handed)
-	if r.NonIdempotent() || addr == n.settings.self || e.ledger.Left() == 0 {
+	if r.NonIdempotent() || addr == n.settings.self || e.ledger.Left() == 0 || n.settings.untraced {
 		return n.send(ctx, addr, r)
 	}
 	ctx, cancel := context.WithCancel(ctx)
--- a/lib/node/choose.go
+++ b/lib/node/choose.go
@@ -15,7 +15,7 @@
 	if len(members) == 0 {
 		return "", false
 	}
-	if e.request.NonIdempotent() {
+	if e.request.Deduped() {
 		ranked := list.Ranked(e.request.Service(), e.request.Key())
 		return n.chooseOwner(ranked, e.tried), true
 	}
--- a/lib/node/common.go
+++ b/lib/node/common.go
@@ -11,6 +11,7 @@
 	"tamarackrudder.org/lib/gossip"
 	"tamarackrudder.org/lib/hosts"
 	"tamarackrudder.org/lib/lease"
+	"tamarackrudder.org/lib/rules"
 	"tamarackrudder.org/lib/spread"
 )
 
@@ -29,15 +30,22 @@
 	terms     lease.Terms
 	beatEvery time.Duration
 	control   Control
+	untraced  bool
+	// watching makes the node watch the platform itself, whoever else does.
+	watching bool
+	// retryShare is how many retries each first attempt earns, and retrySpare how many may be saved up.
+	retryShare float64
+	retrySpare float64
 }
 
 // NewSettings returns the settings of the node that listens for peers at an address.
 func NewSettings(self, service, zone string) Settings {
 	return Settings{
 		self: self, service: service, zone: zone,
-		terms:     TermsOf(DefaultLease, DefaultSkew),
-		beatEvery: DefaultBeat,
-		control:   ControlFull,
+		terms:      TermsOf(DefaultLease, DefaultSkew),
+		beatEvery:  DefaultBeat,
+		control:    ControlFull,
+		retryShare: DefaultRetryShare, retrySpare: DefaultRetrySpare,
 	}
 }
 
@@ -53,6 +61,25 @@
 // WithControl returns the settings with the parts of overload control that are switched on.
 func (s Settings) WithControl(c Control) Settings { s.control = c; return s }
 
+// WithUntraced returns the settings of a node whose backend server does not copy the context of a request into its
+// deeper calls.
+func (s Settings) WithUntraced() Settings { s.untraced = true; return s }
+
+// WithWatching returns the settings of a node that always watches the platform itself.
+func (s Settings) WithWatching() Settings { s.watching = true; return s }
+
+// WithRetries returns the settings with how many retries each first attempt earns, and how many may be saved up.
+func (s Settings) WithRetries(share, spare float64) Settings {
+	s.retryShare, s.retrySpare = share, spare
+	return s
+}
+
+// The retries of a node unless its settings say otherwise.
+const (
+	DefaultRetryShare = 0.1
+	DefaultRetrySpare = 20.0
+)
+
 // The times that a node keeps to unless its settings say otherwise.
 const (
 	// DefaultLease is the length of a lease; a silent owner's keys are served by others about a third longer after it fell silent.
@@ -102,6 +129,8 @@
 	Probe func(ctx context.Context) bool
 	// Watch waits for a value newer than a sequence; without one it returns no text.
 	Watch func(ctx context.Context, name string, after uint64, wait time.Duration) (uint64, []byte, error)
+	// DecodeRules reads rules that are not in the own format; nil for the own one.
+	DecodeRules func(text []byte) (*rules.Set, error)
 	// DecodeList reads a list of hosts.
 	DecodeList func(sequence uint64, text []byte) (*hosts.List, error)
 	// NewID mints an identifier.
--- a/lib/node/control.go
+++ b/lib/node/control.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log/level"
 
 	"tamarackrudder.org/lib/gossip"
+	"tamarackrudder.org/lib/lease"
 	"tamarackrudder.org/lib/spread"
 )
 
@@ -50,7 +51,7 @@
 // beatRound sends heartbeats to the peers of the own service, to some of any service, and to those that fell silent, so
 // that no request is spent on finding out whether they are back; it does not wait for them.
 func (n *Node) beatRound(fanout int) {
-	own := n.group.Peers()
+	own := n.servicePeers()
 	targets := slices.Concat(own, n.randomPeers(fanout), n.picker.Silent())
 	var round sync.WaitGroup
 	for _, addr := range slices.Compact(slices.Sorted(slices.Values(targets))) {
@@ -66,6 +67,29 @@
 	}()
 }
 
+// servicePeers returns the addresses of the other endpoints of the own service.
+func (n *Node) servicePeers() []string {
+	list := n.hosts.Load()
+	if n.Leased() || list == nil {
+		return n.group.Peers()
+	}
+	var peers []string
+	for _, e := range list.Members(n.settings.service) {
+		if e.RPCAddr() != n.settings.self {
+			peers = append(peers, e.RPCAddr())
+		}
+	}
+	return peers
+}
+
+// stateFor returns the own part in the leases of the service, empty where there are none.
+func (n *Node) stateFor(addr string) lease.State {
+	if !n.Leased() {
+		return lease.State{}
+	}
+	return n.group.StateFor(addr)
+}
+
 // randomPeers draws peers from the whole list, or takes the seeds while there is none.
 func (n *Node) randomPeers(count int) []string {
 	list := n.hosts.Load()
@@ -103,7 +127,7 @@
 	asked := n.clock.Now()
 	question := n.beat()
 	if sameService {
-		question = question.WithService(n.group.StateFor(addr), n.crashes.Marks())
+		question = question.WithService(n.stateFor(addr), n.crashes.Marks())
 	}
 	reply, err := n.seams.Beat(ctx, addr, question)
 	n.mu.Lock()
@@ -117,7 +141,7 @@
 	}
 	n.picker.Heard(addr)
 	n.takeBeat(reply)
-	if sameService && reply.State().Addr() == addr {
+	if sameService && n.Leased() && reply.State().Addr() == addr {
 		n.group.Take(asked, reply.State())
 		n.tellNews()
 	}
@@ -139,11 +163,13 @@
 // TakeBeat answers a peer's heartbeat.
 func (n *Node) TakeBeat(b gossip.Beat) gossip.Beat {
 	n.takeBeat(b)
-	sameService := b.State().Addr() != ""
 	reply := n.beat()
-	if sameService {
+	switch {
+	case b.State().Addr() != "":
 		reply = reply.WithService(n.group.Answer(b.State()), n.crashes.Marks())
 		n.tellNews()
+	case !n.Leased():
+		reply = reply.WithService(lease.State{}, n.crashes.Marks())
 	}
 	if n.isNewer(b) {
 		go n.fetchNewer(n.ctx, b)
--- a/lib/node/entry.go
+++ b/lib/node/entry.go
@@ -63,19 +63,20 @@
 	if set == nil || !n.ready.Load() {
 		return e, notRun(verd.ReasonNoRules)
 	}
-	route, ok := set.Match(r.Method(), r.Path())
+	route, ok := set.Match(r.Host(), r.Method(), r.Path())
 	if !ok {
 		return e, notRun(verd.ReasonUnknownRoute)
 	}
 	e.route = route
 	class, _ := set.Class(route.Class())
-	service, _ := set.Service(route.Service())
+	name := route.Choose(n.seams.Random())
+	service, _ := set.Service(name)
 	e.slots = service.Slots()
-	e.request = r.WithRoute(route.Service(), route.NonIdempotent()).WithClass(class.Name(), class.Priority())
+	e.request = r.WithRoute(name, route.NonIdempotent()).WithGoal(route.Goal()).WithClass(class.Name(), class.Priority())
 	if len(r.Body()) > service.MaxBody() {
 		return e, notRun(verd.ReasonBodyTooLarge)
 	}
-	if route.NonIdempotent() && r.Key() == "" {
+	if route.Keyed() && r.Key() == "" {
 		return e, notRun(verd.ReasonKeyMissing)
 	}
 	return e, n.bind(e)
@@ -99,7 +100,7 @@
 	e.ledger = retry.NewLedger(allowance)
 	e.flow = press.NewFlow(e.route.Name(), e.request.Class())
 	// A resend of a non-idempotent request mostly gets a stored answer, which says nothing about load.
-	e.counted = n.settings.control == ControlFull && (e.request.Fresh() || !e.request.NonIdempotent())
+	e.counted = n.settings.control == ControlFull && !n.settings.untraced && (e.request.Fresh() || !e.request.NonIdempotent())
 	if e.counted && !n.press.Admit(e.flow) {
 		return notRun(verd.ReasonShedEarly)
 	}
--- a/lib/node/exec.go
+++ b/lib/node/exec.go
@@ -31,7 +31,7 @@
 	if r.Service() == n.settings.service && n.rules.Load() != nil {
 		a = a.WithPressures(append(n.ownPressures(r), a.Pressures()...))
 	}
-	return a.WithInFlight(n.queue.Running())
+	return a.WithInFlight(n.queue.Open())
 }
 
 func (n *Node) exec(ctx context.Context, r call.Request) call.Answer {
@@ -41,8 +41,10 @@
 		return refuse(r, verd.ReasonNoRules)
 	case r.Service() != n.settings.service:
 		return refuse(r, verd.ReasonNotOwner)
+	case n.settings.untraced && !n.isListed():
+		return refuse(r, verd.ReasonLeaving)
 	}
-	if r.NonIdempotent() {
+	if r.Deduped() {
 		return n.execOnce(ctx, r, service)
 	}
 	return n.execGuarded(ctx, r, service)
@@ -184,7 +186,7 @@
 	if n.queue.Withdraw(ticket) {
 		return refuse(r, contextReason(ctx))
 	}
-	if r.NonIdempotent() {
+	if r.Deduped() {
 		return call.Refusal(verd.MayHaveRun(verd.ReasonDeadline))
 	}
 	return <-ended
@@ -201,7 +203,7 @@
 func (n *Node) runJob(ctx context.Context, r call.Request, service rules.Service, route string, ended chan<- call.Answer) {
 	n.executing.enter()
 	defer n.executing.leave()
-	if r.NonIdempotent() {
+	if r.Deduped() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(n.ctx, r.Deadline().Add(settleTime))
 		defer cancel()
@@ -213,7 +215,7 @@
 
 // settle stores the end of a non-idempotent request, also where its caller has gone.
 func (n *Node) settle(r call.Request, a call.Answer) {
-	if r.NonIdempotent() {
+	if r.Deduped() {
 		n.claims.Settle(r.Key(), a)
 	}
 }
@@ -221,6 +223,9 @@
 func (n *Node) runBackend(ctx context.Context, r call.Request, service rules.Service, route string) call.Answer {
 	open := n.chain.Open(ctx, r)
 	defer n.chain.Close(open)
+	if own, ok := n.ownEndpoint(); ok {
+		r = r.WithInstance(own.Instance())
+	}
 	start := n.clock.Now()
 	inFlight := n.queue.Running()
 	a, broken := n.seams.Run(ctx, r, open.Token(), service.ShedStatus())
@@ -236,7 +241,7 @@
 	case v.Reason() == verd.ReasonBackendShed:
 		n.limit.Shed()
 	}
-	if broken {
+	if broken && n.hasCrashed(ctx) {
 		n.crashes.Crashed(r.Fingerprint())
 		n.beatNow()
 	}
@@ -246,6 +251,18 @@
 	return a.WithUnspent(open.Ledger().Left()).WithShed(open.Shed()).WithPressures(open.Pressures())
 }
 
+// isListed reports whether the list in force names the own backend server.
+func (n *Node) isListed() bool {
+	_, listed := n.ownEndpoint()
+	return listed
+}
+
+// hasCrashed reports whether a connection that broke tells of a crash: a backend server that still accepts connections
+// lost only that one.
+func (n *Node) hasCrashed(ctx context.Context) bool {
+	return !n.settings.untraced || !n.seams.Probe(context.WithoutCancel(ctx))
+}
+
 // ownPressures returns what the own service admits: the request's class, and the classes that it holds back.
 func (n *Node) ownPressures(r call.Request) []call.Pressure {
 	set := n.rules.Load()
--- a/lib/node/leave.go
+++ b/lib/node/leave.go
@@ -29,6 +29,10 @@
 		return
 	}
 	_ = level.Info(n.log).Log("msg", "leaving")
+	n.beatNow()
+	if !n.Leased() {
+		return
+	}
 	n.group.Release()
 	known := n.waitReleaseKnown(ctx)
 	if !known {
@@ -62,7 +66,7 @@
 
 // onceActive waits for the tenure under the newest list, within bounds.
 func (n *Node) onceActive(do func()) {
-	n.poll(n.ctx, func() bool { return n.group.Status().Active() })
+	n.poll(n.ctx, func() bool { return !n.Leased() || n.group.Status().Active() })
 	if n.ctx.Err() == nil {
 		do()
 	}
@@ -152,7 +156,7 @@
 // by themselves once the leases that vouch for the others have run out.
 func (n *Node) takeBack() {
 	loss, lost := n.group.Lost()
-	if !lost {
+	if !lost || !n.Leased() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(n.ctx, beatTimeout)
@@ -222,7 +226,7 @@
 	if err := n.serving.wait(ctx); err != nil {
 		return err
 	}
-	if n.group.ReleaseKnown() {
+	if n.Leased() && n.group.ReleaseKnown() {
 		n.handOver(ctx)
 	}
 	return nil
--- a/lib/node/node.go
+++ b/lib/node/node.go
@@ -82,7 +82,7 @@
 		crashes: crash.NewTable(c, s.self),
 		press:   press.NewTable(c, common.seams.Random),
 		picker:  picker.NewTable(c, common.seams.Random, s.zone),
-		buckets: retry.NewBuckets(),
+		buckets: retry.NewBuckets(s.retryShare, s.retrySpare),
 		chain:   chain.NewTable(common.seams.NewID),
 		stats:   stats.NewTable(),
 		recent:  newRecentKeys(),
@@ -94,13 +94,15 @@
 		heardAt: c.Now(),
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
-	n.rulesStore = spread.NewStore(spread.Seams{Parse: parseRules, Apply: n.applyRules})
+	n.rulesStore = spread.NewStore(spread.Seams{Parse: n.parseRules, Apply: n.applyRules})
 	n.hostsStore = spread.NewStore(spread.Seams{Parse: n.parseHosts, Apply: n.applyHosts})
 	n.queue = queue.New(c, queue.Seams{Capacity: n.queueCapacity, Limit: n.currentLimit, Estimate: n.estimate}, workers)
 	go n.beatLoop()
 	go n.watchLoop(NameRules, n.rulesStore)
 	go n.watchLoop(NameHosts, n.hostsStore)
-	go n.probeLoop()
+	if common.seams.Probe != nil && !s.untraced {
+		go n.probeLoop()
+	}
 	return n
 }
 
@@ -110,14 +112,21 @@
 	n.queue.Close()
 }
 
-func parseRules(_ uint64, text []byte) (uint64, error) {
-	set, err := rules.Parse(text)
+func (n *Node) parseRules(_ uint64, text []byte) (uint64, error) {
+	set, err := n.decodeRules(text)
 	if err != nil {
 		return 0, err
 	}
 	return set.Version(), nil
 }
 
+func (n *Node) decodeRules(text []byte) (*rules.Set, error) {
+	if n.seams.DecodeRules != nil {
+		return n.seams.DecodeRules(text)
+	}
+	return rules.Parse(text)
+}
+
 func (n *Node) parseHosts(sequence uint64, text []byte) (uint64, error) {
 	list, err := n.seams.DecodeList(sequence, text)
 	if err != nil {
@@ -127,12 +136,15 @@
 }
 
 func (n *Node) applyRules(v spread.Value) {
-	set, err := rules.Parse(v.Text())
+	set, err := n.decodeRules(v.Text())
 	if err != nil {
 		return
 	}
 	n.rules.Store(set)
-	if s, ok := set.Service(n.settings.service); ok {
+	if list := n.hosts.Load(); list != nil {
+		n.adopt(list)
+	}
+	if s, ok := set.Service(n.settings.service); ok && s.Slots() > 0 {
 		n.limit.SetSlots(s.Slots())
 		n.queue.Wake()
 	}
@@ -147,14 +159,40 @@
 	}
 	n.hosts.Store(list)
 	n.picker.Forget(list)
-	n.group.Adopt(lease.NewMembership(list.Version(), list.Members(n.settings.service)))
+	n.adopt(list)
 	_ = level.Info(n.log).Log("msg", "list of hosts in force", "version", list.Version(), "endpoints", len(list.Endpoints()))
 	n.beatNow()
 	if own, listed := list.Find(n.settings.self); listed {
+		if own.Slots() > 0 {
+			n.limit.SetSlots(own.Slots())
+			n.queue.Wake()
+		}
 		n.followList(own.Leaving())
 	}
 }
 
+// Leased reports whether any route in force needs an owner for its keys; without one no lease is asked for or granted.
+func (n *Node) Leased() bool {
+	set := n.rules.Load()
+	return set != nil && set.Keyed()
+}
+
+func (n *Node) adopt(list *hosts.List) {
+	if n.Leased() {
+		n.group.Adopt(lease.NewMembership(list.Version(), list.Members(n.settings.service)))
+	}
+}
+
+// ownEndpoint returns what the list in force says of the node's own endpoint.
+func (n *Node) ownEndpoint() (hosts.Endpoint, bool) {
+	list := n.hosts.Load()
+	if list == nil {
+		return hosts.Endpoint{}, false
+	}
+	e, ok := list.Find(n.settings.self)
+	return e, ok && e.Service() == n.settings.service
+}
+
 // ownService returns what the rules in force say about the node's own service.
 func (n *Node) ownService() (rules.Service, bool) {
 	set := n.rules.Load()
@@ -172,6 +210,9 @@
 	case !ok:
 		return initialSlots
 	}
+	if n.settings.untraced {
+		return unlimited // tickets that cannot finish in time are refused one by one
+	}
 	return s.Queue()
 }
 
@@ -180,7 +221,7 @@
 	switch {
 	case n.settings.control == ControlNone:
 		return workers
-	case n.settings.control == ControlStatic && ok:
+	case n.settings.control == ControlStatic && ok && s.Slots() > 0:
 		return s.Slots()
 	}
 	return n.limit.Current()
@@ -190,7 +231,7 @@
 
 // estimateOf returns how long a route's requests run, zero where nothing is to be refused for it.
 func (n *Node) estimateOf(route string) time.Duration {
-	if n.settings.control == ControlNone || n.settings.control == ControlStatic {
+	if n.settings.control == ControlNone || n.settings.control == ControlStatic || n.settings.untraced {
 		return 0
 	}
 	return n.limit.Estimate(route)
@@ -198,7 +239,7 @@
 
 // routeOf returns the name of a request's route in the rules in force.
 func (n *Node) routeOf(r call.Request) string {
-	route, ok := n.rules.Load().Match(r.Method(), r.Path())
+	route, ok := n.rules.Load().Match(r.Host(), r.Method(), r.Path())
 	if !ok {
 		return limit.AllRoutes
 	}
--- a/lib/node/status.go
+++ b/lib/node/status.go
@@ -28,6 +28,9 @@
 // Leaving reports whether the node takes no new work.
 func (n *Node) Leaving() bool { return n.leaving.Load() }
 
+// Stopping reports whether the node is about to end.
+func (n *Node) Stopping() bool { return n.stopping.Load() }
+
 // Rules returns the rules in force, nil before the first.
 func (n *Node) Rules() *rules.Set { return n.rules.Load() }
 
@@ -76,7 +79,7 @@
 	if set == nil {
 		return []string{"no rules are in force: refused as not run (noRules)"}
 	}
-	route, ok := set.Match(method, path)
+	route, ok := set.Match("", method, path)
 	if !ok {
 		return []string{fmt.Sprintf("no route of rules version %d fits: refused as not run (unknownRoute)", set.Version())}
 	}
--- a/lib/node/watch.go
+++ b/lib/node/watch.go
@@ -50,7 +50,7 @@
 // or its peers are silent.
 func (n *Node) watches(store *spread.Store) bool {
 	list := n.hosts.Load()
-	if list == nil || store.Current().Version() == 0 {
+	if n.settings.watching || list == nil || store.Current().Version() == 0 {
 		return true
 	}
 	if slices.Contains(list.Watchers(n.settings.zone, watchersPerZone), n.settings.self) {
--- a/lib/plat/plat.go
+++ b/lib/plat/plat.go
@@ -114,6 +114,11 @@
 	Zone    string `json:"zone"`
 	RPCAddr string `json:"rpcAddr"`
 	State   string `json:"state"`
+	// The rest is told only by platforms that know it; times are Unix milliseconds.
+	Instance string `json:"instance,omitempty"`
+	Slots    int    `json:"slots,omitempty"`
+	Started  int64  `json:"started,omitempty"`
+	WarmAt   int64  `json:"warmAt,omitempty"`
 }
 
 const (
@@ -135,7 +140,7 @@
 		if e.State != stateLive && e.State != stateLeaving {
 			return nil, fmt.Errorf("list of hosts: endpoint %s has unknown state %q", e.RPCAddr, e.State)
 		}
-		endpoints = append(endpoints, hosts.NewEndpoint(e.Service, e.Host, e.Zone, e.RPCAddr, e.State == stateLeaving))
+		endpoints = append(endpoints, e.endpoint())
 	}
 	list, err := hosts.NewList(wire.Version, endpoints)
 	if err != nil {
@@ -144,17 +149,32 @@
 	return list, nil
 }
 
+func (w endpointWire) endpoint() hosts.Endpoint {
+	e := hosts.NewEndpoint(w.Service, w.Host, w.Zone, w.RPCAddr, w.State == stateLeaving).WithSlots(w.Slots)
+	if w.Instance != "" {
+		e = e.WithInstance(w.Instance, time.UnixMilli(w.Started)).WithWarmAt(time.UnixMilli(w.WarmAt))
+	}
+	return e
+}
+
+func toEndpointWire(e hosts.Endpoint) endpointWire {
+	w := endpointWire{
+		Service: e.Service(), Host: e.Host(), Zone: e.Zone(), RPCAddr: e.RPCAddr(), State: stateLive, Slots: e.Slots(),
+	}
+	if e.Leaving() {
+		w.State = stateLeaving
+	}
+	if e.Instance() != "" {
+		w.Instance, w.Started, w.WarmAt = e.Instance(), e.Started().UnixMilli(), e.WarmAt().UnixMilli()
+	}
+	return w
+}
+
 // EncodeList writes a list of hosts as the platform publishes it.
 func EncodeList(list *hosts.List) ([]byte, error) {
 	wire := listWire{Version: list.Version()}
 	for _, e := range list.Endpoints() {
-		state := stateLive
-		if e.Leaving() {
-			state = stateLeaving
-		}
-		wire.Endpoints = append(wire.Endpoints, endpointWire{
-			Service: e.Service(), Host: e.Host(), Zone: e.Zone(), RPCAddr: e.RPCAddr(), State: state,
-		})
+		wire.Endpoints = append(wire.Endpoints, toEndpointWire(e))
 	}
 	text, err := json.Marshal(wire)
 	if err != nil {
--- a/lib/queue/queue.go
+++ b/lib/queue/queue.go
@@ -205,6 +205,13 @@
 	return q.running
 }
 
+// Open returns how many tickets run or wait.
+func (q *Queue) Open() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.running + len(q.waiting)
+}
+
 // Holds reports whether a ticket of a priority would wait behind a good number of tickets of higher ones.
 func (q *Queue) Holds(priority int) bool {
 	q.mu.Lock()
--- a/lib/relay/wire.go
+++ b/lib/relay/wire.go
@@ -36,6 +36,10 @@
 	Remaining     time.Duration
 	Allowance     int
 	Suspect       bool
+	Host          string
+	Caller        string
+	Goal          time.Duration
+	Deeper        bool
 }
 
 // PressureWire is the encoding of a pressure.
@@ -58,6 +62,8 @@
 	InFlight  int
 	Proven    bool
 	Shed      bool
+	Load      float64
+	ComeBack  time.Duration
 }
 
 // StampWire is the encoding of a stamp.
@@ -189,6 +195,7 @@
 		Fields: toFieldWires(r.Fields()), Body: r.Body(), Key: r.Key(), Tenant: r.Tenant(),
 		Service: r.Service(), Class: r.Class(), Priority: r.Priority(), NonIdempotent: r.NonIdempotent(),
 		Remaining: remaining, Allowance: r.Allowance(), Suspect: r.Suspect(),
+		Host: r.Host(), Caller: r.Caller(), Goal: r.Goal(), Deeper: r.Deeper(),
 	}
 }
 
@@ -196,14 +203,15 @@
 	return call.NewRequest(w.ID, w.Method, w.Path, w.Query).
 		WithFields(fromFieldWires(w.Fields)).WithBody(w.Body).WithKey(w.Key).WithTenant(w.Tenant).
 		WithRoute(w.Service, w.NonIdempotent).WithClass(w.Class, w.Priority).
-		WithDeadline(now.Add(w.Remaining)).WithAllowance(w.Allowance).WithSuspect(w.Suspect)
+		WithDeadline(now.Add(w.Remaining)).WithAllowance(w.Allowance).WithSuspect(w.Suspect).
+		WithHost(w.Host).WithCaller(w.Caller).WithGoal(w.Goal).WithDeeper(w.Deeper)
 }
 
 func toAnswerWire(a call.Answer) AnswerWire {
 	w := AnswerWire{
 		Kind: string(a.Verdict().Kind()), Reason: string(a.Verdict().Reason()), Status: a.Status(),
 		Fields: toFieldWires(a.Fields()), Body: a.Body(), Unspent: a.Unspent(), InFlight: a.InFlight(),
-		Proven: a.Proven(), Shed: a.Shed(),
+		Proven: a.Proven(), Shed: a.Shed(), Load: a.Load(), ComeBack: a.ComeBack(),
 	}
 	for _, p := range a.Pressures() {
 		w.Pressures = append(w.Pressures, PressureWire{Service: p.Service(), Class: p.Class(), Admits: p.Admits(), Busy: p.Busy()})
@@ -224,7 +232,8 @@
 	for _, p := range w.Pressures {
 		pressures = append(pressures, call.NewPressure(p.Service, p.Class, p.Admits).WithBusy(p.Busy))
 	}
-	return a.WithUnspent(w.Unspent).WithInFlight(w.InFlight).WithPressures(pressures).WithProven(w.Proven).WithShed(w.Shed)
+	return a.WithUnspent(w.Unspent).WithInFlight(w.InFlight).WithPressures(pressures).WithProven(w.Proven).WithShed(w.Shed).
+		WithLoad(w.Load).WithComeBack(w.ComeBack)
 }
 
 func toStampWire(s spread.Stamp) StampWire {
--- a/lib/retry/retry.go
+++ b/lib/retry/retry.go
@@ -2,11 +2,6 @@
 
 import "sync"
 
-const (
-	successShare = 0.1
-	bucketSize   = 20
-)
-
 // Ledger is the allowance of one open request, shared by its deeper attempts.
 type Ledger struct {
 	mu     sync.Mutex
@@ -75,38 +70,42 @@
 	return true
 }
 
-// Buckets holds a token bucket for each route; a success earns a share of a retry.
+// Buckets holds a token bucket for each service; a success earns a share of a retry.
 type Buckets struct {
+	share  float64
+	size   float64
 	mu     sync.Mutex
 	tokens map[string]float64
 }
 
-// NewBuckets returns full buckets.
-func NewBuckets() *Buckets { return &Buckets{tokens: map[string]float64{}} }
+// NewBuckets returns full buckets of a size in retries; share is what a success earns.
+func NewBuckets(share, size float64) *Buckets {
+	return &Buckets{share: share, size: size, tokens: map[string]float64{}}
+}
 
-// Earn notes a success on a route.
-func (b *Buckets) Earn(route string) {
+// Earn notes a success at a service.
+func (b *Buckets) Earn(service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens[route] = min(bucketSize, b.level(route)+successShare)
+	b.tokens[service] = min(b.size, b.level(service)+b.share)
 }
 
-// Take takes a retry on a route and reports whether there was one.
-func (b *Buckets) Take(route string) bool {
+// Take takes a retry at a service and reports whether there was one.
+func (b *Buckets) Take(service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	level := b.level(route)
+	level := b.level(service)
 	if level < 1 {
 		return false
 	}
-	b.tokens[route] = level - 1
+	b.tokens[service] = level - 1
 	return true
 }
 
-func (b *Buckets) level(route string) float64 {
-	level, ok := b.tokens[route]
+func (b *Buckets) level(service string) float64 {
+	level, ok := b.tokens[service]
 	if !ok {
-		return bucketSize
+		return b.size
 	}
 	return level
 }
--- a/lib/rules/parse.go
+++ b/lib/rules/parse.go
@@ -50,13 +50,15 @@
 	maxPriority     = 1000
 	kindIdempotent  = "idempotent"
 	kindNonIdempot  = "nonIdempotent"
+	kindOnce        = "nonIdempotentUnkeyed"
+	maxWeight       = 1_000_000
 	optionSeparator = "="
 )
 
 var (
 	namePattern    = regexp.MustCompile(`^[a-z][a-zA-Z0-9]{0,39}$`)
 	segmentPattern = regexp.MustCompile(`^([A-Za-z0-9._~-]+|\{[a-z][a-zA-Z0-9]*\})$`)
-	methodPattern  = regexp.MustCompile(`^(GET|HEAD|POST|PUT|PATCH|DELETE)$`)
+	methodPattern  = regexp.MustCompile(`^(GET|HEAD|POST|PUT|PATCH|DELETE|ANY)$`)
 )
 
 // parser collects the rules and the faults of one file.
@@ -82,6 +84,7 @@
 	if len(p.faults) > 0 {
 		return nil, p.faults
 	}
+	p.set.index()
 	return p.set, nil
 }
 
@@ -215,16 +218,24 @@
 		p.fault("unknown method %q", r.method)
 	}
 	r.segments = p.segments(r.pattern)
+	if rest, ok := strings.CutSuffix(r.pattern, "/*"); ok {
+		r.prefix = rest + "/"
+	}
+	r.host = opts.text("host")
 	r.service = opts.text("service")
+	r.split = p.parts(opts.text("split"))
 	r.class = opts.text("class")
+	r.goal = opts.duration("goal", 0, time.Millisecond, maxTimeout)
 	r.timeout = opts.duration("timeout", defaultTimeout, time.Millisecond, maxTimeout)
 	r.retries = opts.number("retries", 0, 0, maxRetries)
 	switch kind := opts.text("kind"); kind {
 	case kindIdempotent:
 	case kindNonIdempot:
 		r.nonIdempotent = true
+	case kindOnce:
+		r.nonIdempotent, r.unkeyed = true, true
 	default:
-		p.fault("kind %q is neither %s nor %s", kind, kindIdempotent, kindNonIdempot)
+		p.fault("kind %q is neither %s nor %s nor %s", kind, kindIdempotent, kindNonIdempot, kindOnce)
 	}
 	opts.finish()
 	p.checkRoute(r)
@@ -234,13 +245,18 @@
 
 // checkRoute looks at one route beside the rules above it.
 func (p *parser) checkRoute(r Route) {
-	if _, ok := p.set.Service(r.service); !ok {
-		p.fault("service %q is not declared above", r.service)
+	for _, service := range r.Services() {
+		if _, ok := p.set.Service(service); !ok {
+			p.fault("service %q is not declared above", service)
+		}
+	}
+	if r.host != "" && r.prefix == "" {
+		p.fault("pattern %q of a route with a host does not end with /*", r.pattern)
 	}
 	if _, ok := p.set.Class(r.class); !ok {
 		p.fault("class %q is not declared above", r.class)
 	}
-	if r.nonIdempotent && (r.method == "GET" || r.method == "HEAD") {
+	if r.Keyed() && (r.method == "GET" || r.method == "HEAD") {
 		p.fault("%s cannot be %s", r.method, kindNonIdempot)
 	}
 	for _, other := range p.set.routes {
@@ -268,6 +284,23 @@
 	return segments
 }
 
+// parts reads the services of a split route, written as name:weight with commas between.
+func (p *parser) parts(text string) []Part {
+	if text == "" {
+		return nil
+	}
+	var parts []Part
+	for _, word := range strings.Split(text, ",") {
+		service, number, _ := strings.Cut(word, ":")
+		weight, err := strconv.Atoi(number)
+		if err != nil || weight < 0 || weight > maxWeight {
+			p.fault("part %q of a split is not name:weight with a weight from 0 to %d", word, maxWeight)
+		}
+		parts = append(parts, NewPart(service, weight))
+	}
+	return parts
+}
+
 func (p *parser) readTenant(args []string, askedBy string) {
 	names, opts, ok := p.take(args, 1)
 	if !ok {
@@ -306,18 +339,22 @@
 	lowest := map[string]int{}
 	for _, r := range p.set.routes {
 		c, _ := p.set.Class(r.class)
-		old, seen := lowest[r.service]
-		if r.nonIdempotent && (!seen || c.priority < old) {
-			lowest[r.service] = c.priority
+		for _, service := range r.Services() {
+			old, seen := lowest[service]
+			if r.nonIdempotent && (!seen || c.priority < old) {
+				lowest[service] = c.priority
+			}
 		}
 	}
 	for i, r := range p.set.routes {
 		p.line = p.routeLines[i]
 		c, _ := p.set.Class(r.class)
-		floor, guarded := lowest[r.service]
-		if !r.nonIdempotent && guarded && c.priority >= floor {
-			p.fault("route %q is %s and must have a lower priority than the %s routes of service %q",
-				r.Name(), kindIdempotent, kindNonIdempot, r.service)
+		for _, service := range r.Services() {
+			floor, guarded := lowest[service]
+			if !r.nonIdempotent && guarded && c.priority >= floor {
+				p.fault("route %q is %s and must have a lower priority than the %s routes of service %q",
+					r.Name(), kindIdempotent, kindNonIdempot, service)
+			}
 		}
 	}
 }
--- a/lib/rules/print.go
+++ b/lib/rules/print.go
@@ -16,12 +16,7 @@
 		b.WriteString(v.line())
 	}
 	for _, r := range s.routes {
-		kind := kindIdempotent
-		if r.nonIdempotent {
-			kind = kindNonIdempot
-		}
-		fmt.Fprintf(&b, "route %s %s service=%s kind=%s class=%s timeout=%s retries=%d %s %s\n",
-			r.method, r.pattern, r.service, kind, r.class, r.timeout, r.retries, askedMark, r.askedBy)
+		b.WriteString(r.line())
 	}
 	for _, t := range s.tenants {
 		fmt.Fprintf(&b, "tenant %s %s %s\n", t.name, askedMark, t.askedBy)
@@ -44,3 +39,31 @@
 	}
 	return fmt.Sprintf("%s %s %s\n", text, askedMark, s.askedBy)
 }
+
+func (r Route) line() string {
+	text := fmt.Sprintf("route %s %s kind=%s class=%s timeout=%s retries=%d", r.method, r.pattern, r.kind(), r.class, r.timeout, r.retries)
+	if r.host != "" {
+		text += " host=" + r.host
+	}
+	if r.goal != 0 {
+		text += fmt.Sprintf(" goal=%s", r.goal)
+	}
+	if len(r.split) == 0 {
+		return fmt.Sprintf("%s service=%s %s %s\n", text, r.service, askedMark, r.askedBy)
+	}
+	parts := make([]string, 0, len(r.split))
+	for _, p := range r.split {
+		parts = append(parts, fmt.Sprintf("%s:%d", p.service, p.weight))
+	}
+	return fmt.Sprintf("%s split=%s %s %s\n", text, strings.Join(parts, ","), askedMark, r.askedBy)
+}
+
+func (r Route) kind() string {
+	switch {
+	case r.unkeyed:
+		return kindOnce
+	case r.nonIdempotent:
+		return kindNonIdempot
+	}
+	return kindIdempotent
+}
--- a/lib/rules/rules.go
+++ b/lib/rules/rules.go
@@ -1,6 +1,7 @@
 package rules
 
 import (
+	"slices"
 	"strings"
 	"time"
 )
@@ -8,6 +9,9 @@
 // MaxBytes bounds a rules file, as the platform's values are bounded.
 const MaxBytes = 1 << 20
 
+// AnyMethod is the method of a route that takes every method.
+const AnyMethod = "ANY"
+
 // Class is a class of requests; classes of higher priority are shed later.
 type Class struct {
 	name     string
@@ -79,10 +83,59 @@
 	timeout       time.Duration
 	retries       int
 	askedBy       string
+	host          string
+	prefix        string
+	split         []Part
+	unkeyed       bool
+	goal          time.Duration
+}
+
+// Part is one service of a route that is split, with its weight.
+type Part struct {
+	service string
+	weight  int
 }
 
-// Name returns method and pattern.
-func (r Route) Name() string { return r.method + " " + r.pattern }
+// NewPart returns a part of a split route.
+func NewPart(service string, weight int) Part { return Part{service: service, weight: weight} }
+
+// Service returns the part's service.
+func (p Part) Service() string { return p.service }
+
+// Weight returns the part's weight; its share is the weight over the sum of all.
+func (p Part) Weight() int { return p.weight }
+
+// Name returns method, host and pattern.
+func (r Route) Name() string { return r.method + " " + r.host + r.pattern }
+
+// Host returns the host name that the route serves, empty for all.
+func (r Route) Host() string { return r.host }
+
+// Split returns the parts of a route that several services run, none where one does.
+func (r Route) Split() []Part { return r.split }
+
+// Keyed reports whether a non-idempotent request is told from its resends by a key; without one, each resend is a
+// request of its own, and the node that it entered answers for its one run.
+func (r Route) Keyed() bool { return r.nonIdempotent && !r.unkeyed }
+
+// Goal returns the time within which an answer is worth most, zero where none is known.
+func (r Route) Goal() time.Duration { return r.goal }
+
+// Choose returns the service that runs a request, given a number from 0 to below 1.
+func (r Route) Choose(random float64) string {
+	total := 0
+	for _, p := range r.split {
+		total += p.weight
+	}
+	at := random * float64(total)
+	for _, p := range r.split {
+		at -= float64(p.weight)
+		if at < 0 {
+			return p.service
+		}
+	}
+	return r.service
+}
 
 // Method returns the method.
 func (r Route) Method() string { return r.method }
@@ -148,8 +201,14 @@
 	routes   []Route
 	tenants  []Tenant
 	limits   []Limit
+	// hosted holds the routes of each host name, longest prefix first.
+	hosted map[string][]Route
+	keyed  bool
 }
 
+// Keyed reports whether any route tells resends by a key.
+func (s *Set) Keyed() bool { return s.keyed }
+
 // Version returns the file's version.
 func (s *Set) Version() uint64 { return s.version }
 
@@ -198,17 +257,39 @@
 	return 0, false
 }
 
-// Match returns the first route of the file that fits a method and path.
-func (s *Set) Match(method, path string) (Route, bool) {
+// Match returns the route that fits a request: of those that name its host the one with the longest prefix, else the
+// first of the file.
+func (s *Set) Match(host, method, path string) (Route, bool) {
+	for _, r := range s.hosted[host] {
+		if strings.HasPrefix(path, r.prefix) && r.takes(method) {
+			return r, true
+		}
+	}
 	parts := strings.Split(strings.TrimPrefix(path, "/"), "/")
 	for _, r := range s.routes {
-		if r.method == method && r.fits(parts) {
+		if r.host == "" && r.takes(method) && r.fits(parts) {
 			return r, true
 		}
 	}
 	return Route{}, false
 }
 
+func (r Route) takes(method string) bool { return r.method == AnyMethod || r.method == method }
+
+// index prepares the set for Match once all routes are in.
+func (s *Set) index() {
+	s.hosted = map[string][]Route{}
+	for _, r := range s.routes {
+		s.keyed = s.keyed || r.Keyed()
+		if r.host != "" {
+			s.hosted[r.host] = append(s.hosted[r.host], r)
+		}
+	}
+	for _, routes := range s.hosted {
+		slices.SortStableFunc(routes, func(a, b Route) int { return len(b.prefix) - len(a.prefix) })
+	}
+}
+
 // fits compares path segments with the pattern; "{name}" fits one segment, a final "*" any rest.
 func (r Route) fits(parts []string) bool {
 	for i, segment := range r.segments {
--- a/lib/verd/verd.go
+++ b/lib/verd/verd.go
@@ -47,6 +47,7 @@
 	ReasonRetrySpent      Reason = "retrySpent"
 	ReasonBackendDown     Reason = "backendDown"
 	ReasonBackendShed     Reason = "backendShed"
+	ReasonBackendReplaced Reason = "backendReplaced"
 	ReasonPeerUnreachable Reason = "peerUnreachable"
 	ReasonPeerVersion     Reason = "peerVersion"
 	ReasonAnswerLost      Reason = "answerLost"
--- a/tamarackd/wiring/settings.go
+++ b/tamarackd/wiring/settings.go
@@ -72,10 +72,11 @@
 // NewCommand returns the program's command line.
 func NewCommand() *cli.Command {
 	return &cli.Command{
-		Name:    "tamarackd",
-		Usage:   "the node of tamarackrudder, one small process beside each backend server",
-		Version: Version,
-		Flags:   flags(),
+		Name:     "tamarackd",
+		Usage:    "the node of tamarackrudder, one small process beside each backend server",
+		Version:  Version,
+		Flags:    flags(),
+		Commands: []*cli.Command{platformCommand()},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			s := read(c)
 			if err := s.check(); err != nil {
--- a/tamarackd/wiring/wiring.go
+++ b/tamarackd/wiring/wiring.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -34,15 +35,15 @@
 	maxHeaderBytes    = 64 << 10
 )
 
-func newLogger(s settings) log.Logger {
-	logger := log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr))
+func newLogger(s settings, out io.Writer) log.Logger {
+	logger := log.NewLogfmtLogger(log.NewSyncWriter(out))
 	logger = level.NewFilter(logger, levels[s.logLevel])
 	return log.With(logger, "ts", log.DefaultTimestampUTC, "node", s.rpcAddr, "service", s.service)
 }
 
 func newNode(s settings, logger log.Logger) *node.Node {
 	peers := relay.NewPeers(relay.DialTCP)
-	backend := back.New(s.backendAddr, s.conns)
+	backend := back.New(s.backendAddr, s.conns, back.OwnDialect())
 	platform := plat.New(s.platformAddr)
 	terms := node.TermsOf(s.lease, s.skew)
 	nodeSettings := node.NewSettings(s.rpcAddr, s.service, s.zone).
@@ -78,15 +79,21 @@
 // serveNode runs the node until a signal or a failed listener ends it.
 func serveNode(ctx context.Context, s settings) error {
 	TuneMemory()
-	logger := newLogger(s)
+	logger := newLogger(s, os.Stderr)
+	n := newNode(s, logger)
+	callers := front.New(front.Seams{Serve: n.Serve, NewID: uuid.NewString, Leaving: n.Leaving})
+	return serveAll(ctx, s, n, callers, logger)
+}
+
+// serveAll runs a node's listeners until a signal or a failed one of them ends it; the actors run beside them.
+func serveAll(ctx context.Context, s settings, n *node.Node, callers http.Handler, logger log.Logger, actors ...actor) error {
+	defer n.Close()
 	listeners, err := listenAll(ctx, s)
 	if err != nil {
 		return err
 	}
-	n := newNode(s, logger)
-	defer n.Close()
 	opsapi.Publish(n)
-	server := newServer(front.New(front.Seams{Serve: n.Serve, NewID: uuid.NewString, Leaving: n.Leaving}))
+	server := newServer(callers)
 	ops := newServer(opsapi.NewHandler(n))
 	peers := relay.NewServer(listeners.rpc, relay.Handlers{
 		Exec: n.Exec, Beat: n.TakeBeat, Fetch: n.Fetch, Handover: n.TakeHandover,
@@ -97,6 +104,9 @@
 	group.Add(func() error { return serve(server, listeners.http) }, func(error) { stop(n, server, s, logger) })
 	group.Add(peers.Serve, func(error) { peers.Close() })
 	group.Add(func() error { return serve(ops, listeners.ops) }, func(error) { _ = ops.Close() })
+	for _, a := range actors {
+		group.Add(a.run, a.interrupt)
+	}
 	_ = level.Info(logger).Log("msg", "started", "version", Version, "http", s.httpAddr, "ops", s.opsAddr)
 	err = group.Run()
 	if errors.Is(err, run.ErrSignal) {
@@ -106,6 +116,12 @@
 	return fmt.Errorf("stopped: %w", err)
 }
 
+// actor is one more part of the group: what it does, and what ends it.
+type actor struct {
+	run       func() error
+	interrupt func(error)
+}
+
 type listeners struct {
 	http net.Listener
 	rpc  net.Listener
