Watch checked against the store's revision; stop ends within the grace

Ruled out: the watch's answer was not lost on our side (no error, no dropped connection). Change: nodes share out four checks a second of the store's revision; one that finds it ahead of its watch reads all again and tells its peers.

--- /dev/null
+++ b/lib/node/checks.go
@@ -0,0 +1,47 @@
+package node
+
+import (
+	"sync/atomic"
+	"time"
+
+	"tamarackrudder.org/lib/clock"
+)
+
+const (
+	// checksPerSecond is how often all nodes together ask whether a watch has missed changes.
+	checksPerSecond = 4
+	quickestCheck   = 600 * time.Millisecond
+	slowestCheck    = 30 * time.Second
+	// lonely is how long no peer has answered before a node relies on its own checks alone.
+	lonely = 1500 * time.Millisecond
+)
+
+// Checks says how often a node asks the platform whether its watch has missed changes: a change that one node finds
+// reaches the others by heartbeats, so the checks are shared out among all that hear each other.
+type Checks struct {
+	clock clock.Clock
+	node  atomic.Pointer[Node]
+}
+
+// NewChecks returns checks that follow no node yet.
+func NewChecks(c clock.Clock) *Checks { return &Checks{clock: c} }
+
+// Follow makes the checks depend on what a node sees.
+func (c *Checks) Follow(n *Node) { c.node.Store(n) }
+
+// Pause returns the time until the next check.
+func (c *Checks) Pause() time.Duration {
+	n := c.node.Load()
+	if n == nil {
+		return quickestCheck
+	}
+	list := n.hosts.Load()
+	n.mu.Lock()
+	alone := c.clock.Now().Sub(n.heardAt) > lonely
+	n.mu.Unlock()
+	if alone || list == nil {
+		return quickestCheck
+	}
+	shared := time.Duration(len(list.Endpoints())) * time.Second / checksPerSecond
+	return min(slowestCheck, max(quickestCheck, shared))
+}
--- a/tamarackd/wiring/platform.go
+++ b/tamarackd/wiring/platform.go
@@ -28,7 +28,7 @@
 	// platformDrain is how long after the signal to stop callers still come: two questions for readiness, one a second.
 	platformDrain = 2200 * time.Millisecond
 	// stopMargin is left of the grace for the process to end by itself.
-	stopMargin = 250 * time.Millisecond
+	stopMargin = 500 * time.Millisecond
 	// retryPart is the part of the fleet's retries that the nodes use in sum, since their counts are of different moments.
 	retryPart = 0.4
 	// platformConns is the number of connections to the backend server where the rules name none.
@@ -83,15 +83,18 @@
 	peers := relay.NewPeers(relay.DialTCP)
 	backend := back.New(s.backendAddr, s.conns, platform.Dialect())
 	_, peerPort, _ := net.SplitHostPort(s.rpcAddr)
-	feed := platform.NewFeed(ctx, platform.NewStore(s.platformAddr), clock.System{}, logger, peerPort)
+	checks := node.NewChecks(clock.System{})
+	feed := platform.NewFeed(ctx, platform.NewStore(s.platformAddr), clock.System{}, logger, peerPort, checks.Pause)
 	nodeSettings := node.NewSettings(s.rpcAddr, s.service, s.zone).WithBeat(s.beat).WithControl(node.Control(s.control)).
 		WithUntraced().WithWatching().WithRetries(given.RetryShare()*retryPart, given.RetrySpare()*retryPart)
-	return node.New(node.NewCommon(clock.System{}, logger, nodeSettings, node.Seams{
+	n := node.New(node.NewCommon(clock.System{}, logger, nodeSettings, node.Seams{
 		Exec: peers.Exec, Beat: peers.Beat, Fetch: peers.Fetch, Handover: peers.Handover, GiveBack: peers.GiveBack,
 		Run: backend.Run, Cancel: backend.Cancel, Probe: backend.Probe,
 		Watch: feed.Watch, DecodeRules: platform.DecodeConfig, DecodeList: plat.DecodeList,
 		NewID: uuid.NewString, Random: rand.Float64,
 	}))
+	checks.Follow(n)
+	return n
 }
 
 // readyActor answers the platform's questions for readiness.
