--- a/lib/node/exec.go
+++ b/lib/node/exec.go
@@ -28,11 +28,13 @@
 	n.executing.enter()
 	defer n.executing.leave()
 	a := n.exec(ctx, r)
-	if r.Service() == n.settings.service && n.rules.Load() != nil {
-		a = a.WithPressures(append(n.ownPressures(r), a.Pressures()...))
+	if r.Service() != n.settings.service || n.rules.Load() == nil {
+		return a.WithInFlight(n.queue.Open())
 	}
 	if n.settings.untraced {
 		a = a.WithNeeds(n.needsOf(n.routeOf(r)))
+	} else {
+		a = a.WithPressures(append(n.ownPressures(r), a.Pressures()...))
 	}
 	return a.WithInFlight(n.queue.Open())
 }
