--- a/lib/admit/gate.go
+++ b/lib/admit/gate.go
@@ -15,6 +15,8 @@
 	// leastShare of each route is let through always, so that recovery is noticed and no route starves.
 	leastShare  = 0.08
 	learnWeight = 0.3
+	// levelWeight averages over the endpoints of a service, whose levels are smooth by themselves.
+	levelWeight = 0.5
 	// levelAge is how long a level counts for what it was reported; then it rises by itself.
 	levelAge   = time.Second
 	silentRise = 0.2 // a second
@@ -90,7 +92,7 @@
 	for _, n := range needs {
 		r.costs[n.Service()] += learnWeight * n.Cost().Seconds()
 		s := g.service(n.Service(), now)
-		s.level += learnWeight * (n.Level() - s.level)
+		s.level += levelWeight * (n.Level() - s.level)
 		s.at = now
 	}
 }
--- a/lib/node/entry.go
+++ b/lib/node/entry.go
@@ -45,6 +45,9 @@
 	n.serving.enter()
 	defer n.serving.leave()
 	a := call.Truthful(e.request, n.attempts(ctx, e))
+	if a.Verdict().IsNotRun() && a.ComeBack() == 0 {
+		a = a.WithComeBack(n.comeBack(e.request))
+	}
 	n.finish(e, a, start)
 	return a
 }
--- a/lib/node/needs.go
+++ b/lib/node/needs.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"tamarackrudder.org/lib/admit"
 	"tamarackrudder.org/lib/call"
 	"tamarackrudder.org/lib/clock"
@@ -11,7 +13,7 @@
 
 const (
 	// tellEvery is the least time between two answers of a route that carry what its requests need.
-	tellEvery     = 20 * time.Millisecond
+	tellEvery     = 4 * time.Millisecond
 	runTimeWeight = 0.05
 	// deeperBonus puts the calls of requests that have begun before all others in a queue.
 	deeperBonus = 10_000
@@ -20,6 +22,7 @@
 	mostComeBack   = 0.8
 	usualGoal      = time.Second
 	longestWaiting = 1500 * time.Millisecond
+	loadLogEvery   = time.Second
 )
 
 // runTimes holds how long the requests of each route run on the own backend server.
@@ -44,6 +47,13 @@
 	t.means[route] = mean + time.Duration(runTimeWeight*float64(took-mean))
 }
 
+// mean returns how long requests of a route run, zero where it is not known.
+func (t *runTimes) mean(route string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.means[route]
+}
+
 // due returns the mean of a route where it is time to tell it.
 func (t *runTimes) due(route string) (time.Duration, bool) {
 	t.mu.Lock()
@@ -79,6 +89,18 @@
 	n.gauge.Observe(running, waiting, n.currentLimit())
 }
 
+// logLoad says now and then how the own backend server is loaded.
+func (n *Node) logLoad() {
+	for n.wait(n.ctx, loadLogEvery) {
+		running, waiting := n.queue.Counts()
+		if running+waiting == 0 {
+			continue
+		}
+		_ = level.Info(n.log).Log("msg", "load", "running", running, "waiting", waiting, "limit", n.currentLimit(),
+			"level", n.gauge.Level(), "leaving", n.leaving.Load())
+	}
+}
+
 // rankOf returns the place of a request's class among those of the rules in force.
 func (n *Node) rankOf(r call.Request) admit.Rank {
 	classes := n.rules.Load().Classes()
--- a/lib/node/node.go
+++ b/lib/node/node.go
@@ -112,6 +112,9 @@
 	go n.beatLoop()
 	go n.watchLoop(NameRules, n.rulesStore)
 	go n.watchLoop(NameHosts, n.hostsStore)
+	if s.untraced {
+		go n.logLoad()
+	}
 	if common.seams.Probe != nil && !s.untraced {
 		go n.probeLoop()
 	}
@@ -255,8 +258,13 @@
 
 // estimateOf returns how long a route's requests run, zero where nothing is to be refused for it.
 func (n *Node) estimateOf(route string) time.Duration {
-	if n.settings.control == ControlNone || n.settings.control == ControlStatic || n.settings.untraced {
+	switch {
+	case n.settings.control == ControlNone || n.settings.control == ControlStatic:
+		return 0
+	case n.settings.untraced && route == limit.AllRoutes:
 		return 0
+	case n.settings.untraced:
+		return n.costs.mean(route)
 	}
 	return n.limit.Estimate(route)
 }
--- a/lib/queue/queue.go
+++ b/lib/queue/queue.go
@@ -28,6 +28,9 @@
 // held back.
 const holdingShare = 8
 
+// sweepEvery bounds how long a ticket waits on that can no longer finish in time.
+const sweepEvery = 20 * time.Millisecond
+
 // Outcome says what became of a ticket that was put.
 type Outcome int
 
@@ -54,7 +57,8 @@
 	clock   clock.Clock
 	seams   Seams
 	mu      sync.Mutex
-	ready   *sync.Cond
+	ready   *sync.Cond // a ticket may run
+	filled  *sync.Cond // a ticket waits
 	waiting []*Ticket
 	running int
 	closed  bool
@@ -63,7 +67,8 @@
 // New returns a queue served by a fixed pool of workers; each takes a ticket, runs it and returns for the next.
 func New(c clock.Clock, seams Seams, workers int) *Queue {
 	q := &Queue{clock: c, seams: seams}
-	q.ready = sync.NewCond(&q.mu)
+	q.ready, q.filled = sync.NewCond(&q.mu), sync.NewCond(&q.mu)
+	go q.sweep()
 	for range workers {
 		go func() {
 			for q.serve() {
@@ -73,6 +78,40 @@
 	return q
 }
 
+// sweep drops the tickets whose time runs out while others are served before them.
+func (q *Queue) sweep() {
+	for {
+		q.mu.Lock()
+		for len(q.waiting) == 0 && !q.closed {
+			q.filled.Wait()
+		}
+		if q.closed {
+			q.mu.Unlock()
+			return
+		}
+		late := q.late()
+		q.mu.Unlock()
+		for _, t := range late {
+			t.drop()
+		}
+		<-q.clock.After(sweepEvery)
+	}
+}
+
+// late takes out the tickets that can no longer finish in time.
+func (q *Queue) late() []*Ticket {
+	var late []*Ticket
+	q.waiting = slices.DeleteFunc(q.waiting, func(t *Ticket) bool {
+		if q.fits(t, 0) {
+			return false
+		}
+		t.waiting = false
+		late = append(late, t)
+		return true
+	})
+	return late
+}
+
 // serve runs one ticket and reports whether the queue is still open.
 func (q *Queue) serve() bool {
 	t, late := q.take()
@@ -162,6 +201,7 @@
 	t.waiting = true
 	q.waiting = slices.Insert(q.waiting, min(place, len(q.waiting)), t)
 	q.ready.Signal()
+	q.filled.Signal()
 	return Queued, dropped
 }
 
@@ -217,6 +257,7 @@
 	q.closed = true
 	q.mu.Unlock()
 	q.ready.Broadcast()
+	q.filled.Broadcast()
 }
 
 // Running returns how many tickets run.
