Callers' routes told from calls; the gauge goes by the wait of a new request

Cause: callers and backend servers come from the same address on the platform (traced: all 1,367 requests of the first second), so every request counted as a call and the gate let all in. Ruled out: header fields (alike), ids (opaque by agreement). Change: a route that enters at a node beside the service that runs it is one of callers (origin); answers tell the other nodes.

--- a/lib/admit/gauge.go
+++ b/lib/admit/gauge.go
@@ -11,14 +11,17 @@
 	tick = 100 * time.Millisecond
 	// mostTicks bounds the moves that are made up for at once.
 	mostTicks = 5
-	// waitingHigh is the share of the limit that may wait before the level falls, and busyHigh the share that runs below
-	// which it rises.
-	waitingHigh = 0.08
-	busyHigh    = 0.92
-	fallGain    = 0.25
+	// delayHigh is the wait of a new request from which the level falls, and delayLow that below which it rises.
+	delayHigh = 40 * time.Millisecond
+	delayLow  = 20 * time.Millisecond
+	// busyHigh is the share of the limit that runs from which the level rises slowly.
+	busyHigh = 0.9
+	// fallGain is by how much the level falls in a tick for each second of wait above the bound.
+	fallGain    = 0.5
+	slowestFall = 0.01
 	fastestFall = 0.08
-	rise        = 0.02
-	slowRise    = 0.004
+	rise        = 0.04
+	slowRise    = 0.01
 	lowestLevel = 0.02
 	fullLevel   = 1.0
 )
@@ -31,13 +34,14 @@
 	opened  time.Time
 	since   time.Time
 	running float64 // summed over time since opened, in seconds
-	waiting float64
+	delay   float64 // the same
 	now     load
 }
 
+// load is the share of the limit that runs, and how long a new request waits, in seconds.
 type load struct {
 	running float64
-	waiting float64
+	delay   float64
 }
 
 // NewGauge returns a gauge that lets everything through.
@@ -45,13 +49,13 @@
 	return &Gauge{clock: c, level: fullLevel, opened: c.Now(), since: c.Now()}
 }
 
-// Observe takes in how many requests run and wait, and how many may run.
-func (g *Gauge) Observe(running, waiting, limit int) {
+// Observe takes in how many requests run and wait, how many may run, and how long one runs.
+func (g *Gauge) Observe(running, waiting, limit int, runs time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.account()
 	room := float64(max(1, limit))
-	g.now = load{running: float64(running) / room, waiting: float64(waiting) / room}
+	g.now = load{running: float64(running) / room, delay: runs.Seconds() * float64(waiting) / room}
 	g.roll()
 }
 
@@ -68,7 +72,7 @@
 	now := g.clock.Now()
 	passed := now.Sub(g.since).Seconds()
 	g.running += passed * g.now.running
-	g.waiting += passed * g.now.waiting
+	g.delay += passed * g.now.delay
 	g.since = now
 }
 
@@ -78,19 +82,22 @@
 	if passed < tick {
 		return
 	}
-	mean := load{running: g.running / passed.Seconds(), waiting: g.waiting / passed.Seconds()}
+	mean := load{running: g.running / passed.Seconds(), delay: g.delay / passed.Seconds()}
 	for range min(mostTicks, passed/tick) {
 		g.level = min(fullLevel, max(lowestLevel, g.level+mean.move()))
 	}
-	g.opened, g.running, g.waiting = g.since, 0, 0
+	g.opened, g.running, g.delay = g.since, 0, 0
 }
 
 // move returns by how much the level moves in one tick.
 func (l load) move() float64 {
+	over := l.delay - delayHigh.Seconds()
 	switch {
-	case l.waiting > waitingHigh:
-		return -min(fastestFall, fallGain*l.waiting)
-	case l.running < busyHigh && l.waiting < waitingHigh/2:
+	case over > 0:
+		return -min(fastestFall, slowestFall+fallGain*over)
+	case l.delay > delayLow.Seconds():
+		return 0
+	case l.running < busyHigh:
 		return rise
 	}
 	return slowRise
--- a/lib/call/answer.go
+++ b/lib/call/answer.go
@@ -70,6 +70,7 @@
 	load      float64
 	comeBack  time.Duration
 	needs     []Need
+	callers   bool
 }
 
 // NewAnswer returns a whole answer of a backend server.
@@ -113,6 +114,12 @@
 // Needs returns what requests of its route take of the services on their way, none where nothing is told.
 func (a Answer) Needs() []Need { return a.needs }
 
+// WithFromCallers returns the answer with whether callers are known to send requests of its route.
+func (a Answer) WithFromCallers(known bool) Answer { a.callers = known; return a }
+
+// FromCallers reports whether callers are known to send requests of the answer's route.
+func (a Answer) FromCallers() bool { return a.callers }
+
 // WithComeBack returns the refusal with how long its caller should wait before it comes back.
 func (a Answer) WithComeBack(after time.Duration) Answer { a.comeBack = after; return a }
 
--- a/lib/node/attempt.go
+++ b/lib/node/attempt.go
@@ -23,6 +23,9 @@
 		v := a.Verdict()
 		e.pressures = append(e.pressures, a.Pressures()...)
 		n.gate.Learn(e.route.Name(), a.Needs())
+		if a.FromCallers() {
+			n.origin.Told(e.route.Name())
+		}
 		e.shed = e.shed || a.Shed()
 		switch {
 		case v.HasRun():
--- a/lib/node/entry.go
+++ b/lib/node/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -133,11 +134,16 @@
 
 // bindUntraced admits a request by what those of its route are known to need; what a backend server has begun is finished.
 func (n *Node) bindUntraced(e *entry) *verd.Verdict {
-	if e.request.Deeper() {
-		n.fanout.Called(e.route.Name())
+	name := e.route.Name()
+	if slices.Contains(e.route.Services(), n.settings.service) {
+		n.origin.Entered(name)
+	}
+	if !n.origin.IsCallers(name) {
+		e.request = e.request.WithDeeper(true)
+		n.fanout.Called(name)
 		return nil
 	}
-	if n.settings.control == ControlFull && !n.gate.Admit(e.route.Name(), n.rankOf(e.request)) {
+	if n.settings.control == ControlFull && !n.gate.Admit(name, n.rankOf(e.request)) {
 		return notRun(verd.ReasonShedEarly)
 	}
 	return nil
--- a/lib/node/exec.go
+++ b/lib/node/exec.go
@@ -32,7 +32,8 @@
 		return a.WithInFlight(n.queue.Open())
 	}
 	if n.settings.untraced {
-		a = a.WithNeeds(n.needsOf(n.routeOf(r)))
+		route := n.routeOf(r)
+		a = a.WithNeeds(n.needsOf(route)).WithFromCallers(n.origin.IsCallers(route))
 	} else {
 		a = a.WithPressures(append(n.ownPressures(r), a.Pressures()...))
 	}
--- a/lib/node/needs.go
+++ b/lib/node/needs.go
@@ -9,6 +9,7 @@
 	"tamarackrudder.org/lib/admit"
 	"tamarackrudder.org/lib/call"
 	"tamarackrudder.org/lib/clock"
+	"tamarackrudder.org/lib/limit"
 )
 
 const (
@@ -40,11 +41,13 @@
 func (t *runTimes) sample(route string, took time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	mean, known := t.means[route]
-	if !known {
-		mean = took
+	for _, name := range []string{route, limit.AllRoutes} {
+		mean, known := t.means[name]
+		if !known {
+			mean = took
+		}
+		t.means[name] = mean + time.Duration(runTimeWeight*float64(took-mean))
 	}
-	t.means[route] = mean + time.Duration(runTimeWeight*float64(took-mean))
 }
 
 // mean returns how long requests of a route run, zero where it is not known.
@@ -86,7 +89,7 @@
 // observe tells the gauge how the queue stands.
 func (n *Node) observe() {
 	running, waiting := n.queue.Counts()
-	n.gauge.Observe(running, waiting, n.currentLimit())
+	n.gauge.Observe(running, waiting, n.currentLimit(), n.costs.mean(limit.AllRoutes))
 }
 
 // logLoad says now and then how the own backend server is loaded.
--- a/lib/node/node.go
+++ b/lib/node/node.go
@@ -17,6 +17,7 @@
 	"tamarackrudder.org/lib/hosts"
 	"tamarackrudder.org/lib/lease"
 	"tamarackrudder.org/lib/limit"
+	"tamarackrudder.org/lib/origin"
 	"tamarackrudder.org/lib/picker"
 	"tamarackrudder.org/lib/press"
 	"tamarackrudder.org/lib/queue"
@@ -58,6 +59,7 @@
 	buckets *retry.Buckets
 	chain   *chain.Table
 	fanout  *fanout.Table
+	origin  *origin.Table
 	gauge   *admit.Gauge
 	gate    *admit.Gate
 	costs   *runTimes
@@ -93,6 +95,7 @@
 		buckets: retry.NewBuckets(s.retryShare, s.retrySpare),
 		chain:   chain.NewTable(common.seams.NewID),
 		fanout:  fanout.NewTable(c),
+		origin:  origin.NewTable(),
 		gauge:   admit.NewGauge(c),
 		gate:    admit.NewGate(c),
 		costs:   newRunTimes(c),
--- a/lib/picker/picker.go
+++ b/lib/picker/picker.go
@@ -25,7 +25,10 @@
 	// coldRoom is the part of its slots that an endpoint can use shortly after its start.
 	coldRoom    = 0.4
 	refusalCost = 1.0
-	tieBreak    = 0.01
+	// Above this share of its slots an endpoint's cost grows faster, before requests wait there.
+	crowded   = 0.8
+	crowdCost = 3.0
+	tieBreak  = 0.01
 	// Refusals count by their share of the last answers, and are forgotten with a half-life.
 	refusalWeight   = 0.1
 	refusalHalfLife = time.Second
@@ -110,7 +113,8 @@
 		room *= coldRoom
 	}
 	e := t.endpoint(member.RPCAddr())
-	cost := (t.load(member)+1)/room + refusalCost*e.refusing(now) + tieBreak*t.random()
+	taken := (t.load(member) + 1) / room
+	cost := taken + crowdCost*max(0, taken-crowded) + refusalCost*e.refusing(now) + tieBreak*t.random()
 	if member.Zone() != t.zone {
 		cost += zoneCost
 	}
--- a/lib/relay/wire.go
+++ b/lib/relay/wire.go
@@ -72,6 +72,7 @@
 	Load      float64
 	ComeBack  time.Duration
 	Needs     []NeedWire
+	Callers   bool
 }
 
 // StampWire is the encoding of a stamp.
@@ -219,7 +220,7 @@
 	w := AnswerWire{
 		Kind: string(a.Verdict().Kind()), Reason: string(a.Verdict().Reason()), Status: a.Status(),
 		Fields: toFieldWires(a.Fields()), Body: a.Body(), Unspent: a.Unspent(), InFlight: a.InFlight(),
-		Proven: a.Proven(), Shed: a.Shed(), Load: a.Load(), ComeBack: a.ComeBack(),
+		Proven: a.Proven(), Shed: a.Shed(), Load: a.Load(), ComeBack: a.ComeBack(), Callers: a.FromCallers(),
 	}
 	for _, n := range a.Needs() {
 		w.Needs = append(w.Needs, NeedWire{Service: n.Service(), Cost: n.Cost(), Level: n.Level()})
@@ -248,7 +249,7 @@
 		pressures = append(pressures, call.NewPressure(p.Service, p.Class, p.Admits).WithBusy(p.Busy))
 	}
 	return a.WithUnspent(w.Unspent).WithInFlight(w.InFlight).WithPressures(pressures).WithProven(w.Proven).WithShed(w.Shed).
-		WithLoad(w.Load).WithComeBack(w.ComeBack).WithNeeds(needs)
+		WithLoad(w.Load).WithComeBack(w.ComeBack).WithNeeds(needs).WithFromCallers(w.Callers)
 }
 
 func toStampWire(s spread.Stamp) StampWire {
--- a/tamarackd/wiring/platform.go
+++ b/tamarackd/wiring/platform.go
@@ -71,7 +71,7 @@
 	logger := newLogger(s, os.Stdout)
 	n := newPlatformNode(ctx, given, s, logger)
 	seams := front.Seams{Serve: n.Serve, NewID: uuid.NewString, Leaving: n.Stopping}
-	callers := platform.NewFront(seams, platform.Caller{Service: s.service, HostIP: s.host})
+	callers := platform.NewFront(seams, s.service)
 	ready, err := readyActor(ctx, given.ReadyAddr(), func() bool { return n.Ready() && !n.Stopping() })
 	if err != nil {
 		return err
