Calls per route by the parts of requests in each window

The rates per open request were biased once the called service was full, since its callers then stay open. Change: least squares over the parts of requests that fall into each window, so that the counts do not depend on how long requests run; sources below 1 in 20 of the calls are left out. Also: decisions at entry are logged, at most 5 lines a second of each kind (capped).

--- a/lib/admit/gate.go
+++ b/lib/admit/gate.go
@@ -22,9 +22,12 @@
 	silentRise = 0.2 // a second
 	// offeredLife is the time constant with which counts of offered requests fade.
 	offeredLife = 2 * time.Second
-	// most bounds the exponent that a route's cost makes.
-	mostWeight  = 3.0
-	leastWeight = 0.02
+	// mostWeight bounds the exponent that a route's cost makes.
+	mostWeight = 3.0
+	// smallCost is the part of the mean cost at a service below which a route does not count as needing it: so much is
+	// within the error of the calls that are learned.
+	smallCost = 0.15
+	leastRoom = 0.01
 )
 
 // service is what a gate knows of one service.
@@ -113,28 +116,57 @@
 	return needs
 }
 
-// Admit counts a request that is offered and reports whether it is let in.
-func (g *Gate) Admit(name string, rank Rank) bool {
+// Decision says whether a request was let in, and what decided it.
+type Decision struct {
+	admitted bool
+	share    float64
+	service  string
+	level    float64
+}
+
+// Admitted reports whether the request was let in.
+func (d Decision) Admitted() bool { return d.admitted }
+
+// Share returns the share of the route that is let in.
+func (d Decision) Share() float64 { return d.share }
+
+// Service returns the service with the least room for the route, empty where all have room.
+func (d Decision) Service() string { return d.service }
+
+// Level returns that service's level as it is known here.
+func (d Decision) Level() float64 { return d.level }
+
+// Admit counts a request that is offered and decides whether it is let in.
+func (g *Gate) Admit(name string, rank Rank) Decision {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
 	r := g.route(name, now)
 	r.fade(now)
 	r.offered++
-	r.share = 1
+	d := Decision{share: 1, level: fullLevel}
 	for service, cost := range r.costs {
-		room := rank.share(g.service(service, now).now(now))
-		if room < 1 {
-			r.share = min(r.share, math.Pow(room, g.weight(service, cost, now)))
+		level := g.service(service, now).now(now)
+		room := rank.share(level)
+		if room >= 1 {
+			continue
+		}
+		weight := g.weight(service, cost, now)
+		if weight < smallCost {
+			continue
+		}
+		if share := math.Pow(max(leastRoom, room), weight); share < d.share {
+			d.share, d.service, d.level = share, service, level
 		}
 	}
-	r.share = max(leastShare, r.share)
-	r.credit = min(1, r.credit+r.share)
-	if r.credit < 1 {
-		return false
+	d.share = max(leastShare, d.share)
+	r.share = d.share
+	r.credit = min(1, r.credit+d.share)
+	if r.credit >= 1 {
+		r.credit--
+		d.admitted = true
 	}
-	r.credit--
-	return true
+	return d
 }
 
 // Share returns the share of a route that was let in lately.
@@ -162,7 +194,7 @@
 	if total <= 0 {
 		return 1
 	}
-	return min(mostWeight, max(leastWeight, cost*count/total))
+	return min(mostWeight, cost*count/total)
 }
 
 func (r *route) fade(now time.Time) {
--- a/lib/admit/gauge.go
+++ b/lib/admit/gauge.go
@@ -12,15 +12,18 @@
 	// mostTicks bounds the moves that are made up for at once.
 	mostTicks = 5
 	// delayHigh is the wait of a new request from which the level falls, and delayLow that below which it rises.
-	delayHigh = 40 * time.Millisecond
-	delayLow  = 20 * time.Millisecond
+	delayHigh = 30 * time.Millisecond
+	delayLow  = 15 * time.Millisecond
 	// busyHigh is the share of the limit that runs from which the level rises slowly.
 	busyHigh = 0.9
 	// fallGain is by how much the level falls in a tick for each second of wait above the bound.
 	fallGain    = 0.5
 	slowestFall = 0.01
-	fastestFall = 0.08
+	fastestFall = 0.15
 	rise        = 0.04
+	// idleRise is for a backend server of whose limit less than idleLow runs.
+	idleRise    = 0.1
+	idleLow     = 0.5
 	slowRise    = 0.01
 	lowestLevel = 0.02
 	fullLevel   = 1.0
@@ -97,6 +100,8 @@
 		return -min(fastestFall, slowestFall+fallGain*over)
 	case l.delay > delayLow.Seconds():
 		return 0
+	case l.running < idleLow:
+		return idleRise
 	case l.running < busyHigh:
 		return rise
 	}
--- /dev/null
+++ b/lib/capped/capped_test.go
@@ -0,0 +1,30 @@
+package capped_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tamarackrudder.org/lib/capped"
+	"tamarackrudder.org/lib/clock"
+)
+
+func TestBudget(t *testing.T) {
+	is := is.New(t)
+	c := clock.NewManual(time.Unix(1_800_000_000, 0))
+	b := capped.NewBudget(c, 2)
+	allowed := 0
+	for range 10 {
+		if _, ok := b.Take("refused"); ok {
+			allowed++
+		}
+	}
+	is.Equal(allowed, 2)
+	_, ok := b.Take("lost")
+	is.True(ok) // kinds do not crowd each other out
+	c.Advance(time.Second)
+	omitted, ok := b.Take("refused")
+	is.True(ok)
+	is.Equal(omitted, 8)
+}
--- a/lib/fanout/fanout.go
+++ b/lib/fanout/fanout.go
@@ -11,29 +11,24 @@
 )
 
 const (
-	// window is the time over which open requests and calls are compared.
-	window = 100 * time.Millisecond
-	// solveEvery is the number of windows between two solutions.
-	solveEvery = 5
+	// window is the time over which requests and calls are compared.
+	window = 200 * time.Millisecond
+	// settled is the number of windows after which one is compared; most requests that were open in it have ended.
+	settled = 5
 	// kept is the part of the sums that is left after each window: they halve in about fifteen seconds.
-	kept = 0.995
+	kept = 0.99
 	// maxRoutes bounds the routes that are told apart, as requests and as calls.
 	maxRoutes = 24
 	// ridge keeps the solution small where the windows cannot tell routes apart, relative to the mean square.
 	ridge = 1e-3
 	// fewestCalls is the number of calls for a request below which it is taken to make none.
 	fewestCalls = 0.05
+	// leastPart is the part of all calls of a route below which those of one source are taken to be another's: the counts
+	// are not more exact, and so few calls matter little.
+	leastPart    = 0.05
+	lengthWeight = 0.05
 )
 
-// source is a route whose requests the backend server runs.
-type source struct {
-	open     int
-	since    time.Time
-	exposure time.Duration // open time within this window
-	starts   float64       // faded
-	openTime float64       // faded, in seconds
-}
-
 // Call is how often a request makes calls of a route.
 type Call struct {
 	route string
@@ -49,51 +44,68 @@
 // Count returns the number of calls for one request.
 func (c Call) Count() float64 { return c.count }
 
+// Run is one request that the backend server runs.
+type Run struct {
+	route   int
+	started time.Time
+}
+
+// span is one window: the parts of requests that fell into it, by route, and the calls made in it.
+type span struct {
+	requests [maxRoutes]float64
+	calls    [maxRoutes]float64
+}
+
 // Table learns for one backend server.
 type Table struct {
 	clock   clock.Clock
 	mu      sync.Mutex
-	sources map[string]*source
-	names   []string // of the sources, in the order of the sums
+	sources []string
+	lengths [maxRoutes]time.Duration // how long requests run, smoothed
 	targets []string
-	called  []float64 // in this window, by target
+	open    map[*Run]struct{}
+	spans   []span // the oldest first; the last one is now
+	opened  time.Time
 	squares [maxRoutes][maxRoutes]float64
 	mixed   [maxRoutes][maxRoutes]float64
-	opened  time.Time
-	windows int
+	totals  [maxRoutes]float64 // requests of each source, faded like the sums
 	calls   map[string][]Call
 }
 
 // NewTable returns a table that knows of no calls.
 func NewTable(c clock.Clock) *Table {
-	return &Table{clock: c, sources: map[string]*source{}, opened: c.Now(), calls: map[string][]Call{}}
+	return &Table{
+		clock: c, open: map[*Run]struct{}{}, spans: make([]span, 1, settled+1), opened: c.Now(), calls: map[string][]Call{},
+	}
 }
 
 // Started notes that the backend server begins a request of a route.
-func (t *Table) Started(route string) {
+func (t *Table) Started(route string) *Run {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.roll()
-	s := t.source(route, now)
-	if s == nil {
-		return
+	r := &Run{route: place(&t.sources, route), started: now}
+	if r.route >= 0 {
+		t.open[r] = struct{}{}
 	}
-	s.account(now)
-	s.open++
-	s.starts++
+	return r
 }
 
-// Ended notes the end of a request of a route.
-func (t *Table) Ended(route string) {
+// Ended notes the end of a request.
+func (t *Table) Ended(r *Run) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.roll()
-	s := t.source(route, now)
-	if s == nil || s.open == 0 {
+	if r.route < 0 {
 		return
 	}
-	s.account(now)
-	s.open--
+	delete(t.open, r)
+	length := now.Sub(r.started)
+	t.lengths[r.route] += time.Duration(lengthWeight * float64(length-t.lengths[r.route]))
+	for i := range t.spans {
+		from, to := t.bounds(i)
+		t.spans[i].requests[r.route] += part(r.started, now, from, to, length)
+	}
 }
 
 // Called notes that the backend server makes a call of a route.
@@ -101,16 +113,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.roll()
-	i := slices.Index(t.targets, route)
-	if i < 0 {
-		if len(t.targets) == maxRoutes {
-			return
-		}
-		i = len(t.targets)
-		t.targets = append(t.targets, route)
-		t.called = append(t.called, 0)
+	if i := place(&t.targets, route); i >= 0 {
+		t.spans[len(t.spans)-1].calls[i]++
 	}
-	t.called[i]++
 }
 
 // Calls returns the calls that a request of a route makes, as far as they have been learned; not to be changed.
@@ -121,113 +126,117 @@
 	return t.calls[route]
 }
 
-func (s *source) account(now time.Time) {
-	s.exposure += time.Duration(s.open) * now.Sub(s.since)
-	s.since = now
+// place returns the index of a route, which it adds where there is room, and -1 where there is none.
+func place(routes *[]string, route string) int {
+	if i := slices.Index(*routes, route); i >= 0 {
+		return i
+	}
+	if len(*routes) == maxRoutes {
+		return -1
+	}
+	*routes = append(*routes, route)
+	return len(*routes) - 1
+}
+
+// bounds returns when a window began and ends.
+func (t *Table) bounds(i int) (from, to time.Time) {
+	from = t.opened.Add(-time.Duration(len(t.spans)-1-i) * window)
+	return from, from.Add(window)
 }
 
-func (t *Table) source(route string, now time.Time) *source {
-	s, ok := t.sources[route]
-	if ok {
-		return s
+// part returns the part of a request's time that falls into a window.
+func part(started, ended, from, to time.Time, length time.Duration) float64 {
+	if started.Before(from) {
+		started = from
 	}
-	if len(t.names) == maxRoutes {
-		return nil
+	if ended.After(to) {
+		ended = to
 	}
-	s = &source{since: now}
-	t.sources[route] = s
-	t.names = append(t.names, route)
-	return s
+	return max(0, float64(ended.Sub(started))) / float64(max(time.Millisecond, length))
 }
 
-// roll closes the window when its time is over.
+// roll begins a new window when the time of the last one is over.
 func (t *Table) roll() time.Time {
 	now := t.clock.Now()
-	passed := now.Sub(t.opened)
-	if passed < window {
-		return now
-	}
-	open := make([]float64, len(t.names))
-	for i, name := range t.names {
-		s := t.sources[name]
-		s.account(now)
-		open[i] = s.exposure.Seconds() / passed.Seconds()
-		s.openTime = kept*s.openTime + s.exposure.Seconds()
-		s.starts *= kept
-		s.exposure = 0
-	}
-	rates := make([]float64, len(t.targets))
-	for c := range t.targets {
-		rates[c] = t.called[c] / passed.Seconds()
-		t.called[c] = 0
-	}
-	t.add(open, rates)
-	t.opened = now
-	t.windows++
-	if t.windows%solveEvery == 0 {
-		t.solve()
+	if now.Sub(t.opened) >= 2*settled*window {
+		t.spans, t.opened = append(t.spans[:0], span{}), now // nothing was asked for so long that nothing ran
+	}
+	for now.Sub(t.opened) >= window {
+		t.opened = t.opened.Add(window)
+		t.spans = append(t.spans, span{})
+		if len(t.spans) > settled {
+			t.compare(now)
+			t.spans = append(t.spans[:0], t.spans[1:]...)
+		}
 	}
 	return now
 }
 
-func (t *Table) add(open, rates []float64) {
-	for i := range open {
-		for j := range open {
-			t.squares[i][j] = kept*t.squares[i][j] + open[i]*open[j]
+// compare takes the oldest window into the sums.
+func (t *Table) compare(now time.Time) {
+	oldest := &t.spans[0]
+	from, to := t.bounds(0)
+	for r := range t.open {
+		length := max(now.Sub(r.started), t.lengths[r.route])
+		oldest.requests[r.route] += part(r.started, now, from, to, length)
+	}
+	for i := range t.sources {
+		t.totals[i] = kept*t.totals[i] + oldest.requests[i]
+		for j := range t.sources {
+			t.squares[i][j] = kept*t.squares[i][j] + oldest.requests[i]*oldest.requests[j]
 		}
-		for c := range rates {
-			t.mixed[i][c] = kept*t.mixed[i][c] + open[i]*rates[c]
+		for c := range t.targets {
+			t.mixed[i][c] = kept*t.mixed[i][c] + oldest.requests[i]*oldest.calls[c]
 		}
 	}
+	t.solve()
 }
 
-// solve finds for each called route the rates at which the open requests call it.
+// solve finds for each called route how often the requests call it.
 func (t *Table) solve() {
 	calls := map[string][]Call{}
 	for c, target := range t.targets {
-		for i, rate := range t.rates(c) {
-			s := t.sources[t.names[i]]
-			if s.starts <= 0 || s.openTime <= 0 {
-				continue
-			}
-			count := rate * s.openTime / s.starts
+		for i, count := range t.counts(c) {
 			if count >= fewestCalls {
-				calls[t.names[i]] = append(calls[t.names[i]], NewCall(target, count))
+				calls[t.sources[i]] = append(calls[t.sources[i]], NewCall(target, count))
 			}
 		}
 	}
 	t.calls = calls
 }
 
-// rates solves the least squares for one called route; routes whose rate comes out below zero are left out one by one.
-func (t *Table) rates(c int) []float64 {
-	active := make([]int, 0, len(t.names))
-	for i := range t.names {
+// counts solves the least squares for one called route; routes whose
+// count comes out below zero, or makes up too small a part of the calls, are left out one by one.
+func (t *Table) counts(c int) []float64 {
+	active := make([]int, 0, len(t.sources))
+	for i := range t.sources {
 		if t.squares[i][i] > 0 {
 			active = append(active, i)
 		}
 	}
-	rates := make([]float64, len(t.names))
+	counts := make([]float64, len(t.sources))
 	for len(active) > 0 {
 		solved, ok := t.solveFor(active, c)
 		if !ok {
-			return rates
+			return counts
 		}
-		worst := 0
-		for k := range active {
-			if solved.AtVec(k) < solved.AtVec(worst) {
-				worst = k
+		worst, least, sum := 0, 0.0, 0.0
+		for k, i := range active {
+			calls := solved.AtVec(k) * t.totals[i]
+			sum += max(0, calls)
+			if k == 0 || calls < least {
+				worst, least = k, calls
 			}
 		}
-		if solved.AtVec(worst) >= 0 {
+		if least >= leastPart*sum {
 			for k, i := range active {
-				rates[i] = solved.AtVec(k)
+				counts[i] = solved.AtVec(k)
 			}
-			return rates
+			return counts
 		}
 		active = slices.Delete(active, worst, worst+1)
 	}
-	return rates
+	return counts
 }
 
 func (t *Table) solveFor(active []int, c int) (*mat.VecDense, bool) {
--- a/lib/fanout/fanout_test.go
+++ b/lib/fanout/fanout_test.go
@@ -11,45 +11,62 @@
 	"tamarackrudder.org/lib/fanout"
 )
 
-// run is a request that is open: when it makes its calls and when it ends.
+// run is a request that is open: what is left of its work and calls.
 type run struct {
-	route string
-	calls []time.Duration
-	end   time.Duration
+	run     *fanout.Run
+	work    time.Duration
+	calls   int
+	calling time.Duration
 }
 
-// play lets requests of two routes come at random, of which one makes four calls and the other none.
-func play(c *clock.Manual, table *fanout.Table, seconds int, perSecond map[string]float64) {
+// load is how many requests of each route come in a second, and how many calls the called service runs at once.
+type load struct {
+	plain float64
+	deep  float64
+	slots int
+}
+
+// play lets requests of two routes come at random, of which one makes four calls after each other and the other none;
+// calls wait while the called service has no slot for them.
+func play(c *clock.Manual, table *fanout.Table, seconds int, l load) {
 	random := rand.New(rand.NewPCG(7, 7))
 	const step = time.Millisecond
-	var open []run
+	const callTime = 12 * step
+	var open []*run
 	for range seconds * 1000 {
 		c.Advance(step)
-		for _, route := range []string{"plain", "deep"} {
-			if random.Float64() > perSecond[route]/1000 {
-				continue
-			}
-			table.Started(route)
-			r := run{route: route, end: time.Duration(100+random.IntN(100)) * step}
-			if route == "deep" {
-				for i := range 4 {
-					r.calls = append(r.calls, time.Duration(15+20*i)*step)
-				}
-				r.end = 100 * step
+		if random.Float64() < l.plain/1000 {
+			open = append(open, &run{run: table.Started("plain"), work: time.Duration(100+random.IntN(100)) * step})
+		}
+		if random.Float64() < l.deep/1000 {
+			open = append(open, &run{run: table.Started("deep"), work: 15 * step, calls: 4})
+		}
+		busy := 0
+		for _, r := range open {
+			if r.calling > 0 {
+				busy++
 			}
-			open = append(open, r)
 		}
 		left := open[:0]
 		for _, r := range open {
-			r.end -= step
-			for i := range r.calls {
-				r.calls[i] -= step
-				if r.calls[i] == 0 {
+			switch {
+			case r.calling > 0:
+				r.calling -= step
+			case r.work > 0:
+				r.work -= step
+				if r.work == 0 && r.calls > 0 {
 					table.Called("scale")
 				}
+			case r.calls > 0 && busy < l.slots:
+				busy++
+				r.calling = callTime
+				r.calls--
+				if r.calls > 0 {
+					r.work = step
+				}
 			}
-			if r.end <= 0 {
-				table.Ended(r.route)
+			if r.calling <= 0 && r.work <= 0 && r.calls == 0 {
+				table.Ended(r.run)
 				continue
 			}
 			left = append(left, r)
@@ -69,12 +86,26 @@
 
 // TestCallsAreAttributed has both routes open all the time, as on a busy day.
 func TestCallsAreAttributed(t *testing.T) {
-	is := is.New(t)
-	c := clock.NewManual(time.Unix(1_800_000_000, 0))
-	table := fanout.NewTable(c)
-	play(c, table, 10, map[string]float64{"plain": 90, "deep": 450})
-	deep, plain := count(table.Calls("deep"), "scale"), count(table.Calls("plain"), "scale")
-	t.Logf("deep %.2f, plain %.2f", deep, plain)
-	is.True(deep > 3 && deep < 5)
-	is.True(plain < 1.5)
+	tests := []struct {
+		name string
+		load load
+	}{
+		{"called service has room", load{plain: 90, deep: 450, slots: 1000}},
+		{"called service is full", load{plain: 90, deep: 450, slots: 21}},
+		{"called service has too little room", load{plain: 90, deep: 450, slots: 20}},
+		{"few requests", load{plain: 10, deep: 30, slots: 1000}},
+		{"as many of both", load{plain: 200, deep: 200, slots: 1000}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			c := clock.NewManual(time.Unix(1_800_000_000, 0))
+			table := fanout.NewTable(c)
+			play(c, table, 8, test.load)
+			deep, plain := count(table.Calls("deep"), "scale"), count(table.Calls("plain"), "scale")
+			t.Logf("deep %.2f, plain %.2f", deep, plain)
+			is.True(deep > 3 && deep < 5)
+			is.True(plain < 0.6)
+		})
+	}
 }
--- a/lib/node/entry.go
+++ b/lib/node/entry.go
@@ -143,10 +143,15 @@
 		n.fanout.Called(name)
 		return nil
 	}
-	if n.settings.control == ControlFull && !n.gate.Admit(name, n.rankOf(e.request)) {
-		return notRun(verd.ReasonShedEarly)
+	if n.settings.control != ControlFull {
+		return nil
 	}
-	return nil
+	d := n.gate.Admit(name, n.rankOf(e.request))
+	if d.Admitted() {
+		return nil
+	}
+	n.decided("refused at entry", e.request, "route", name, "service", d.Service(), "level", d.Level(), "share", d.Share())
+	return notRun(verd.ReasonShedEarly)
 }
 
 func notRun(reason verd.Reason) *verd.Verdict {
@@ -176,6 +181,21 @@
 	if v.HasRun() {
 		return
 	}
-	_ = level.Debug(n.log).Log("msg", "request refused", "id", r.ID(), "service", r.Service(), "class", r.Class(),
-		"verdict", v.Kind(), "reason", v.Reason(), "tookMs", took.Milliseconds())
+	if v.Reason() != verd.ReasonShedEarly {
+		n.decided("request ended without an answer", r, "service", r.Service(), "class", r.Class(),
+			"verdict", v.Kind(), "reason", v.Reason(), "tookMs", took.Milliseconds())
+	}
+}
+
+// decided logs a decision on a request, unless many alike were logged in this second.
+func (n *Node) decided(msg string, r call.Request, fields ...any) {
+	omitted, ok := n.lines.Take(msg)
+	if !ok {
+		return
+	}
+	line := append([]any{"msg", msg, "id", r.ID()}, fields...)
+	if omitted > 0 {
+		line = append(line, "omitted", omitted)
+	}
+	_ = level.Info(n.log).Log(line...)
 }
--- a/lib/node/exec.go
+++ b/lib/node/exec.go
@@ -235,8 +235,7 @@
 	if own, ok := n.ownEndpoint(); ok {
 		r = r.WithInstance(own.Instance())
 	}
-	n.fanout.Started(route)
-	defer n.fanout.Ended(route)
+	defer n.fanout.Ended(n.fanout.Started(route))
 	start := n.clock.Now()
 	inFlight := n.queue.Running()
 	a, broken := n.seams.Run(ctx, r, open.Token(), service.ShedStatus())
--- a/lib/node/node.go
+++ b/lib/node/node.go
@@ -10,6 +10,7 @@
 
 	"tamarackrudder.org/lib/admit"
 	"tamarackrudder.org/lib/call"
+	"tamarackrudder.org/lib/capped"
 	"tamarackrudder.org/lib/chain"
 	"tamarackrudder.org/lib/claims"
 	"tamarackrudder.org/lib/crash"
@@ -33,6 +34,8 @@
 	// initialSlots is the limit until rules name the slots.
 	initialSlots = 16
 	unlimited    = 1 << 20
+	// linesPerSecond bounds the lines of one kind that a node logs about single requests.
+	linesPerSecond = 5
 	// workingShare is the part of its slots that a backend server is given; some slow down when all are taken.
 	workingShare = 0.93
 )
@@ -63,6 +66,7 @@
 	gauge   *admit.Gauge
 	gate    *admit.Gate
 	costs   *runTimes
+	lines   *capped.Budget
 	stats   *stats.Table
 	recent  *recentKeys
 	alone   chan struct{}
@@ -99,6 +103,7 @@
 		gauge:   admit.NewGauge(c),
 		gate:    admit.NewGate(c),
 		costs:   newRunTimes(c),
+		lines:   capped.NewBudget(c, linesPerSecond),
 		stats:   stats.NewTable(),
 		recent:  newRecentKeys(),
 		alone:   make(chan struct{}, 1),
