The gate lets in the share that it means to

Cause: credits were cut at one request, so that every share from 0.5 to just below 1 let in exactly half (traced: 'refused at entry' lines with share=0.99999). Ruled out: the level of motif-book, which was full. Change: up to two credits are kept. Tests: TestShareFollowsLevel and TestDearRoutesGiveWay, shown failing first (0.500 where 0.9 was meant); TestLevel.

--- a/lib/admit/gate.go
+++ b/lib/admit/gate.go
@@ -28,6 +28,8 @@
 	// within the error of the calls that are learned.
 	smallCost = 0.15
 	leastRoom = 0.01
+	// mostCredit is how many requests a route may be owed.
+	mostCredit = 2.0
 )
 
 // service is what a gate knows of one service.
@@ -161,7 +163,7 @@
 	}
 	d.share = max(leastShare, d.share)
 	r.share = d.share
-	r.credit = min(1, r.credit+d.share)
+	r.credit = min(mostCredit, r.credit+d.share)
 	if r.credit >= 1 {
 		r.credit--
 		d.admitted = true
