Routes of callers told by the services beside which they enter; failures count for what a route needs

Change: a route is one of callers if it enters beside nearly all services. Tests: TestRoutesOfCallers (the moved route fails with the first rule), TestServicesOutOfReach. Change: failed runs count. Silent endpoints are given up while a retry is left, on the platform too. Load lines count what enters.

--- a/lib/hosts/hosts.go
+++ b/lib/hosts/hosts.go
@@ -124,6 +124,9 @@
 // Members returns the endpoints of a service by address; not to be changed.
 func (l *List) Members(service string) []Endpoint { return l.members[service] }
 
+// Services returns how many services have endpoints.
+func (l *List) Services() int { return len(l.members) }
+
 // Find returns the endpoint of an address.
 func (l *List) Find(rpcAddr string) (Endpoint, bool) {
 	i, ok := slices.BinarySearchFunc(l.endpoints, rpcAddr, func(e Endpoint, addr string) int {
--- a/lib/node/attempt.go
+++ b/lib/node/attempt.go
@@ -128,7 +128,7 @@
 // the request's own deadline, since an endpoint that is only slow may still make it.
 func (n *Node) sendPatiently(ctx context.Context, e *entry, addr string, handed int) call.Answer {
 	r := e.request.WithAllowance(handed)
-	if r.NonIdempotent() || addr == n.settings.self || e.ledger.Left() == 0 || n.settings.untraced {
+	if r.NonIdempotent() || addr == n.settings.self || e.ledger.Left() == 0 {
 		return n.send(ctx, addr, r)
 	}
 	ctx, cancel := context.WithCancel(ctx)
--- a/lib/node/entry.go
+++ b/lib/node/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -135,14 +134,13 @@
 // bindUntraced admits a request by what those of its route are known to need; what a backend server has begun is finished.
 func (n *Node) bindUntraced(e *entry) *verd.Verdict {
 	name := e.route.Name()
-	if slices.Contains(e.route.Services(), n.settings.service) {
-		n.origin.Entered(name)
-	}
 	if !n.origin.IsCallers(name) {
+		n.entered.deeper.Add(1)
 		e.request = e.request.WithDeeper(true)
 		n.fanout.Called(name)
 		return nil
 	}
+	n.entered.callers.Add(1)
 	if n.settings.control != ControlFull {
 		return nil
 	}
@@ -150,6 +148,7 @@
 	if d.Admitted() {
 		return nil
 	}
+	n.entered.refused.Add(1)
 	n.decided("refused at entry", e.request, "route", name, "service", d.Service(), "level", d.Level(), "share", d.Share())
 	return notRun(verd.ReasonShedEarly)
 }
--- a/lib/node/exec.go
+++ b/lib/node/exec.go
@@ -33,6 +33,7 @@
 	}
 	if n.settings.untraced {
 		route := n.routeOf(r)
+		n.origin.Ran(route, r.Caller())
 		a = a.WithNeeds(n.needsOf(route)).WithFromCallers(n.origin.IsCallers(route))
 	} else {
 		a = a.WithPressures(append(n.ownPressures(r), a.Pressures()...))
@@ -241,13 +242,15 @@
 	a, broken := n.seams.Run(ctx, r, open.Token(), service.ShedStatus())
 	whole := n.clock.Now().Sub(start)
 	v := a.Verdict()
+	if !v.IsNotRun() {
+		n.costs.sample(route, whole) // failures take slots too
+	}
 	switch {
 	case v.HasRun():
 		n.crashes.Succeeded(r.Fingerprint())
 		if a.Status() >= failedStatus || whole > stuckSpans*r.Deadline().Sub(start) {
 			break // a failure, or a process that was stopped, says nothing about how long a request needs
 		}
-		n.costs.sample(route, whole)
 		if !n.settings.untraced {
 			n.limit.Sample(route, whole, whole-open.Waited(), inFlight)
 		}
--- a/lib/node/needs.go
+++ b/lib/node/needs.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -92,15 +93,20 @@
 	n.gauge.Observe(running, waiting, n.currentLimit(), n.costs.mean(limit.AllRoutes))
 }
 
+// entered counts the requests that entered since the last line on the load.
+type entered struct {
+	deeper  atomic.Int64
+	callers atomic.Int64
+	refused atomic.Int64
+}
+
 // logLoad says now and then how the own backend server is loaded.
 func (n *Node) logLoad() {
 	for n.wait(n.ctx, loadLogEvery) {
 		running, waiting := n.queue.Counts()
-		if running+waiting == 0 {
-			continue
-		}
 		_ = level.Info(n.log).Log("msg", "load", "running", running, "waiting", waiting, "limit", n.currentLimit(),
-			"level", n.gauge.Level(), "leaving", n.leaving.Load())
+			"level", n.gauge.Level(), "runsMs", n.costs.mean(limit.AllRoutes).Milliseconds(), "leaving", n.leaving.Load(),
+			"deeper", n.entered.deeper.Swap(0), "callers", n.entered.callers.Swap(0), "refused", n.entered.refused.Swap(0))
 	}
 }
 
--- a/lib/node/node.go
+++ b/lib/node/node.go
@@ -67,6 +67,7 @@
 	gate    *admit.Gate
 	costs   *runTimes
 	lines   *capped.Budget
+	entered entered
 	stats   *stats.Table
 	recent  *recentKeys
 	alone   chan struct{}
@@ -181,6 +182,7 @@
 		return
 	}
 	n.hosts.Store(list)
+	n.origin.SetServices(list.Services())
 	n.picker.Forget(list)
 	n.adopt(list)
 	_ = level.Info(n.log).Log("msg", "list of hosts in force", "version", list.Version(), "endpoints", len(list.Endpoints()))
--- a/lib/origin/origin_test.go
+++ b/lib/origin/origin_test.go
@@ -10,22 +10,27 @@
 
 func TestRoutesOfCallers(t *testing.T) {
 	tests := []struct {
-		name    string
-		entered int
-		told    bool
-		want    bool
+		name     string
+		services int
+		entered  []string
+		told     bool
+		want     bool
 	}{
-		{"never seen", 0, false, false},
-		{"once beside its service", 1, false, false},
-		{"often beside its service", 3, false, true},
-		{"told by a node beside its service", 0, true, true},
+		{name: "never seen", services: 3},
+		{name: "once beside each service", services: 3, entered: []string{"a", "b", "c"}},
+		{name: "beside all services", services: 3, entered: []string{"a", "b", "c", "a", "b", "c"}, want: true},
+		{name: "called by one service", services: 3, entered: []string{"a", "a", "a", "a", "a", "a"}},
+		{name: "called by its own service, since part of it moved there", services: 3, entered: []string{"c", "b", "c", "b", "c", "b"}},
+		{name: "one service only", services: 1, entered: []string{"a", "a", "a"}},
+		{name: "told by the node that runs it", services: 3, told: true, want: true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
 			table := origin.NewTable()
-			for range test.entered {
-				table.Entered("GET /x")
+			table.SetServices(test.services)
+			for _, service := range test.entered {
+				table.Ran("GET /x", service)
 			}
 			if test.told {
 				table.Told("GET /x")
@@ -35,3 +40,15 @@
 		})
 	}
 }
+
+// TestServicesOutOfReach has a part of the list lapse: what is left must not pass for all services.
+func TestServicesOutOfReach(t *testing.T) {
+	is := is.New(t)
+	table := origin.NewTable()
+	table.SetServices(4)
+	table.SetServices(2)
+	for _, service := range []string{"a", "b", "a", "b"} {
+		table.Ran("GET /x", service)
+	}
+	is.True(!table.IsCallers("GET /x"))
+}
