--- a/lib/node/needs.go
+++ b/lib/node/needs.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,6 +26,8 @@
 	usualGoal      = time.Second
 	longestWaiting = 1500 * time.Millisecond
 	loadLogEvery   = time.Second
+	// needsLogEvery is the number of lines on the load for each set of lines on what routes need.
+	needsLogEvery = 5
 )
 
 // runTimes holds how long the requests of each route run on the own backend server.
@@ -79,6 +82,9 @@
 	}
 	needs := []call.Need{call.NewNeed(n.settings.service, mean, n.gauge.Level())}
 	for _, c := range n.fanout.Calls(route) {
+		if n.origin.IsCallers(c.Route()) {
+			continue // counted as a call before it was known, or it would need itself
+		}
 		for _, deeper := range n.gate.Needs(c.Route()) {
 			cost := time.Duration(c.Count() * float64(deeper.Cost()))
 			needs = append(needs, call.NewNeed(deeper.Service(), cost, deeper.Level()))
@@ -102,7 +108,10 @@
 
 // logLoad says now and then how the own backend server is loaded.
 func (n *Node) logLoad() {
-	for n.wait(n.ctx, loadLogEvery) {
+	for round := 1; n.wait(n.ctx, loadLogEvery); round++ {
+		if round%needsLogEvery == 0 {
+			n.logNeeds()
+		}
 		running, waiting := n.queue.Counts()
 		_ = level.Info(n.log).Log("msg", "load", "running", running, "waiting", waiting, "limit", n.currentLimit(),
 			"level", n.gauge.Level(), "runsMs", n.costs.mean(limit.AllRoutes).Milliseconds(), "leaving", n.leaving.Load(),
@@ -110,6 +119,17 @@
 	}
 }
 
+// logNeeds says what the routes of callers are taken to need, and how much of each is let in.
+func (n *Node) logNeeds() {
+	for _, route := range n.origin.Routes() {
+		fields := []any{"msg", "needs", "route", route, "share", n.gate.Share(route)}
+		for _, need := range n.gate.Needs(route) {
+			fields = append(fields, need.Service(), fmt.Sprintf("%dms@%.2f", need.Cost().Milliseconds(), need.Level()))
+		}
+		_ = level.Info(n.log).Log(fields...)
+	}
+}
+
 // rankOf returns the place of a request's class among those of the rules in force.
 func (n *Node) rankOf(r call.Request) admit.Rank {
 	classes := n.rules.Load().Classes()
--- a/lib/origin/origin.go
+++ b/lib/origin/origin.go
@@ -1,7 +1,9 @@
 package origin
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"sync"
 )
 
@@ -12,6 +14,8 @@
 	nearlyAll = 0.9
 	// maxRoutes bounds the routes that are remembered.
 	maxRoutes = 4096
+	// mostListed bounds the routes that are listed.
+	mostListed = 16
 )
 
 // Table knows the routes that callers use.
@@ -83,3 +87,11 @@
 	defer t.mu.Unlock()
 	return t.callers[route]
 }
+
+// Routes returns some of the routes that callers use, in order.
+func (t *Table) Routes() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	routes := slices.Sorted(maps.Keys(t.callers))
+	return routes[:min(mostListed, len(routes))]
+}
