Lapsed entries go two seconds after the store's return; no attempt is given up for silence; refusals after a retry are truthful

Tests: TestRemoved, two cases shown failing with the old rule. Change: silence ends no attempt on the platform, patience follows each endpoint's own latency, and a refusal after an attempt that may have run is no promise (TestLastRefusalSpeaksOnlyOfItself, shown failing: not-run).

--- a/lib/node/attempt.go
+++ b/lib/node/attempt.go
@@ -17,6 +17,15 @@
 
 // attempts sends a request until it ran, may have run, or may not be tried again.
 func (n *Node) attempts(ctx context.Context, e *entry) call.Answer {
+	a, ran := n.tryAll(ctx, e)
+	if v := a.Verdict(); ran && v.IsNotRun() {
+		return call.Refusal(verd.MayHaveRun(v.Reason())) // the last attempt speaks only of itself
+	}
+	return a
+}
+
+// tryAll returns the last attempt's answer, and whether an earlier attempt may have run.
+func (n *Node) tryAll(ctx context.Context, e *entry) (last call.Answer, ranBefore bool) {
 	pause := firstRedirect
 	for {
 		a := n.attempt(ctx, e)
@@ -30,16 +39,17 @@
 		switch {
 		case v.HasRun():
 			n.buckets.Earn(e.request.Service())
-			return a
+			return a, ranBefore
 		case isRedirect(v):
 			if e.redirects >= maxRedirects || !n.waitWithin(ctx, e, pause) {
-				return a
+				return a, ranBefore
 			}
 			e.redirects++
 			pause = min(lastRedirect, 2*pause)
 		case !n.mayRetry(ctx, e, v):
-			return a
+			return a, ranBefore
 		default:
+			ranBefore = ranBefore || !v.IsNotRun()
 			e.request = e.request.WithSuspect(e.request.Suspect() || v.Reason() == verd.ReasonAnswerLost)
 		}
 	}
@@ -128,7 +138,7 @@
 // the request's own deadline, since an endpoint that is only slow may still make it.
 func (n *Node) sendPatiently(ctx context.Context, e *entry, addr string, handed int) call.Answer {
 	r := e.request.WithAllowance(handed)
-	if r.NonIdempotent() || addr == n.settings.self || e.ledger.Left() == 0 {
+	if r.NonIdempotent() || addr == n.settings.self || e.ledger.Left() == 0 || n.settings.untraced {
 		return n.send(ctx, addr, r)
 	}
 	ctx, cancel := context.WithCancel(ctx)
--- a/lib/node/untraced_test.go
+++ b/lib/node/untraced_test.go
@@ -45,3 +45,80 @@
 	r := call.NewRequest("1", "GET", "/x", "").WithRoute("desk", false).WithDeadline(time.Now().Add(time.Second))
 	is.Equal(n.Exec(t.Context(), r).Verdict(), verd.NotRun(verd.ReasonNoRules))
 }
+
+const untracedRules = `version 1
+class lookup priority=10 # asked by: test
+class deed priority=100 # asked by: test
+service desk slots=8 # asked by: test
+route GET /items/{id} service=desk kind=idempotent class=lookup timeout=2s retries=2 # asked by: test
+route POST /orders service=desk kind=nonIdempotentUnkeyed class=deed timeout=2s retries=2 # asked by: test
+`
+
+// readyUntraced returns a node that is ready, with itself as the only endpoint.
+func readyUntraced(t *testing.T, run func(ctx context.Context, r call.Request) (call.Answer, bool)) *node.Node {
+	t.Helper()
+	n := newUntraced(t, map[string]string{node.NameRules: untracedRules, node.NameHosts: "desk 10.0.0.1:1 z0"}, run)
+	for end := time.Now().Add(patience); !n.Ready(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("node does not become ready")
+		}
+	}
+	return n
+}
+
+// TestLastRefusalSpeaksOnlyOfItself has a backend server lose the answer of a first attempt and refuse the second.
+func TestLastRefusalSpeaksOnlyOfItself(t *testing.T) {
+	is := is.New(t)
+	runs := 0
+	n := readyUntraced(t, func(context.Context, call.Request) (call.Answer, bool) {
+		runs++
+		if runs == 1 {
+			return call.Refusal(verd.MayHaveRun(verd.ReasonAnswerLost)), false
+		}
+		return call.Refusal(verd.NotRun(verd.ReasonBackendShed)), false
+	})
+	a := n.Serve(t.Context(), call.NewRequest("1", "GET", "/items/1", ""))
+	is.True(runs > 1)
+	is.Equal(a.Verdict().Kind(), verd.KindMayHaveRun)
+}
+
+// TestUnkeyedRunsAtMostOnce sends a non-idempotent request again only after the word that it did not run.
+func TestUnkeyedRunsAtMostOnce(t *testing.T) {
+	tests := []struct {
+		name  string
+		first verd.Verdict
+		runs  int
+	}{
+		{"answer lost", verd.MayHaveRun(verd.ReasonAnswerLost), 1},
+		{"endpoint silent", verd.MayHaveRun(verd.ReasonSilent), 1},
+		{"backend server full", verd.NotRun(verd.ReasonBackendShed), 2},
+		{"another one at the address", verd.NotRun(verd.ReasonBackendReplaced), 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			runs := 0
+			n := readyUntraced(t, func(context.Context, call.Request) (call.Answer, bool) {
+				runs++
+				if runs == 1 {
+					return call.Refusal(test.first), false
+				}
+				return call.NewAnswer(200, nil, nil), false
+			})
+			a := n.Serve(t.Context(), call.NewRequest("1", "POST", "/orders", ""))
+			is.Equal(runs, test.runs)
+			is.Equal(a.Verdict().HasRun(), test.runs == 2)
+		})
+	}
+}
+
+// TestRefusedCallerIsToldWhenToComeBack has a backend server that refuses everything.
+func TestRefusedCallerIsToldWhenToComeBack(t *testing.T) {
+	is := is.New(t)
+	n := readyUntraced(t, func(context.Context, call.Request) (call.Answer, bool) {
+		return call.Refusal(verd.NotRun(verd.ReasonBackendShed)), false
+	})
+	a := n.Serve(t.Context(), call.NewRequest("1", "POST", "/orders", ""))
+	is.True(a.Verdict().IsNotRun())
+	is.True(a.ComeBack() > 0)
+}
--- a/lib/picker/picker.go
+++ b/lib/picker/picker.go
@@ -35,6 +35,7 @@
 	leavingAge      = time.Second
 	// An endpoint counts as silent after several times the smoothed latency of all answers.
 	shortestPatience = 500 * time.Millisecond
+	longestPatience  = 3 * time.Second
 	patienceSpans    = 4
 	latencyWeight    = 0.05
 )
@@ -52,6 +53,7 @@
 	readyAt      time.Time
 	leavingUntil time.Time
 	waitingSince time.Time
+	latency      time.Duration
 	lost         bool // a request got no answer, and nothing has been heard since
 }
 
@@ -200,9 +202,12 @@
 
 // isSilent reports whether an endpoint owes answers and has sent none for far longer than they usually take.
 func (t *Table) isSilent(e *endpoint, now time.Time) bool {
-	return e.lost || (e.inFlight > 0 && now.Sub(e.waitingSince) >= t.patience())
+	return e.lost || (e.inFlight > 0 && now.Sub(e.waitingSince) >= max(t.patience(), e.patience()))
 }
 
+// patience follows the endpoint's own answers, which may take longer than those of others.
+func (e *endpoint) patience() time.Duration { return min(longestPatience, patienceSpans*e.latency) }
+
 func (t *Table) patience() time.Duration { return max(shortestPatience, patienceSpans*t.latency) }
 
 // IsSilent reports whether an endpoint owes answers and has sent none for longer than is waited for.
@@ -228,6 +233,7 @@
 	now := t.clock.Now()
 	if !broken {
 		t.latency += time.Duration(latencyWeight * float64(took-t.latency))
+		e.latency += time.Duration(latencyWeight * float64(took-e.latency))
 		e.reported, e.sentSince, e.reportedAt, e.waitingSince = reported, 0, now, now
 		e.failures, e.lost = 0, false
 		if now.Sub(e.readyAt) > longestEjection {
--- a/lib/roster/roster.go
+++ b/lib/roster/roster.go
@@ -13,7 +13,7 @@
 	// lapseGrace is how long after the platform's return an entry that is missing still counts.
 	lapseGrace = 2200 * time.Millisecond
 	// unstable is how long after an outage a removed entry may have lapsed for want of heartbeats.
-	unstable = 3 * time.Second
+	unstable = time.Second
 	// lapseBits is the part of a list's version that counts changes made here; the platform's revision stands above it.
 	lapseBits = 8
 )
@@ -86,7 +86,7 @@
 		return
 	}
 	known.removed, known.revision = true, revision
-	known.until = t.clock.Now().Add(lapseGrace)
+	known.until = t.backAt.Add(lapseGrace)
 }
 
 // mayHaveLapsed reports whether entries may be missing only because their writers could not reach the platform.
@@ -188,3 +188,10 @@
 	defer t.mu.Unlock()
 	return t.everRead
 }
+
+// IsAway reports whether the platform could not be read when it was last tried.
+func (t *Table) IsAway() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.isAway
+}
--- /dev/null
+++ b/lib/roster/roster_test.go
@@ -0,0 +1,118 @@
+package roster_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tamarackrudder.org/lib/clock"
+	"tamarackrudder.org/lib/hosts"
+	"tamarackrudder.org/lib/roster"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func endpoint(service, ip string, started time.Time) hosts.Endpoint {
+	return hosts.NewEndpoint(service, ip, "z0", ip+":1", false).WithInstance(service+ip, started)
+}
+
+// listed returns the services of the list in force by address.
+func listed(t *testing.T, table *roster.Table) map[string]string {
+	t.Helper()
+	list, _, err := table.List()
+	if err != nil {
+		t.Fatal(err)
+	}
+	services := map[string]string{}
+	for _, e := range list.Endpoints() {
+		services[e.Host()] = e.Service()
+	}
+	return services
+}
+
+func TestNewestStartAtAnAddressCounts(t *testing.T) {
+	is := is.New(t)
+	table := roster.NewTable(clock.NewManual(start))
+	table.Put("b", endpoint("shop", "10.0.0.1", start.Add(time.Minute)), 7)
+	table.Put("a", endpoint("desk", "10.0.0.1", start), 8) // the old owner's last heartbeat comes late
+	is.Equal(listed(t, table), map[string]string{"10.0.0.1": "shop"})
+}
+
+func TestOlderEntryChangesNothing(t *testing.T) {
+	is := is.New(t)
+	table := roster.NewTable(clock.NewManual(start))
+	e := endpoint("desk", "10.0.0.1", start)
+	table.Put("a", e.WithLeaving(), 7)
+	table.Put("a", e, 6)
+	list, _, err := table.List()
+	is.NoErr(err)
+	is.True(list.Endpoints()[0].Leaving())
+}
+
+// TestRemoved plays removals around an outage of the platform that ends at 0: an entry that lapsed for want of heartbeats
+// counts until about two seconds after the return, one that is removed later counts no more at once.
+func TestRemoved(t *testing.T) {
+	tests := []struct {
+		name    string
+		removed time.Duration // after the return
+		looked  time.Duration
+		want    bool
+	}{
+		{"found missing on return", 0, 1900 * time.Millisecond, true},
+		{"still missing after two seconds", 0, 2300 * time.Millisecond, false},
+		{"lapse told shortly after", 500 * time.Millisecond, 1900 * time.Millisecond, true},
+		{"lapse told shortly after, still missing", 500 * time.Millisecond, 2300 * time.Millisecond, false},
+		{"removed on purpose later", 1500 * time.Millisecond, 1500 * time.Millisecond, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			c := clock.NewManual(start)
+			table := roster.NewTable(c)
+			table.Put("a", endpoint("desk", "10.0.0.1", start), 7)
+			table.Lost()
+			c.Advance(10 * time.Second)
+			is.Equal(len(listed(t, table)), 1) // the last list stays in force while the platform is away
+			table.Regained()
+			c.Advance(test.removed)
+			table.Remove("a", 8)
+			c.Advance(test.looked - test.removed)
+			is.Equal(len(listed(t, table)) == 1, test.want)
+		})
+	}
+}
+
+func TestRemovedInCalm(t *testing.T) {
+	is := is.New(t)
+	table := roster.NewTable(clock.NewManual(start))
+	table.Put("a", endpoint("desk", "10.0.0.1", start), 7)
+	table.Put("b", endpoint("desk", "10.0.0.2", start), 7)
+	table.Remove("a", 8)
+	is.Equal(listed(t, table), map[string]string{"10.0.0.2": "desk"})
+	table.Replace(nil, 9)
+	is.Equal(len(listed(t, table)), 0)
+}
+
+func TestVersionsGrow(t *testing.T) {
+	is := is.New(t)
+	c := clock.NewManual(start)
+	table := roster.NewTable(c)
+	last := uint64(0)
+	grows := func() {
+		list, _, err := table.List()
+		is.NoErr(err)
+		is.True(list.Version() > last)
+		last = list.Version()
+	}
+	table.Put("a", endpoint("desk", "10.0.0.1", start), 7)
+	grows()
+	table.Lost()
+	table.Regained()
+	table.Remove("a", 8)
+	grows()
+	c.Advance(3 * time.Second)
+	grows() // the lapsed entry went without a change at the platform
+	table.Put("b", endpoint("desk", "10.0.0.1", start), 9)
+	grows()
+}
