Endpoints are told a deadline a little ahead; slower endpoints cost more; spare retries are shared out

Each node could also save up 0.4 of the fleet's spare retries for itself. Change: endpoints are told 12 ms less; latency beyond the quickest endpoint's counts (800 ms as all its slots); spare retries are divided by the nodes, and requests earn, not successes.

--- a/lib/node/attempt.go
+++ b/lib/node/attempt.go
@@ -38,7 +38,9 @@
 		e.shed = e.shed || a.Shed()
 		switch {
 		case v.HasRun():
-			n.buckets.Earn(e.request.Service())
+			if !n.settings.untraced {
+				n.buckets.Earn(e.request.Service())
+			}
 			return a, ranBefore
 		case isRedirect(v):
 			if e.redirects >= maxRedirects || !n.waitWithin(ctx, e, pause) {
--- a/lib/node/common.go
+++ b/lib/node/common.go
@@ -33,7 +33,7 @@
 	untraced  bool
 	// watching makes the node watch the platform itself, whoever else does.
 	watching bool
-	// retryShare is how many retries each first attempt earns, and retrySpare how many may be saved up.
+	// retryShare is how many retries each request earns, and retrySpare how many all nodes together may save up.
 	retryShare float64
 	retrySpare float64
 }
--- a/lib/node/exec.go
+++ b/lib/node/exec.go
@@ -17,6 +17,10 @@
 // failedStatus is the least status of a backend server that failed (RFC 9110, section 15.6).
 const failedStatus = 500
 
+// lastWord is how long before its deadline the backend server is told to end a request, so that its own word arrives in
+// time and its connection can be kept.
+const lastWord = 12 * time.Millisecond
+
 // stuckSpans is how many times its deadline a request takes that was stuck with a stopped process.
 const stuckSpans = 2
 
@@ -236,10 +240,14 @@
 	if own, ok := n.ownEndpoint(); ok {
 		r = r.WithInstance(own.Instance())
 	}
+	told := r
+	if n.settings.untraced && r.Deadline().Sub(n.clock.Now()) > 2*lastWord {
+		told = r.WithDeadline(r.Deadline().Add(-lastWord))
+	}
 	defer n.fanout.Ended(n.fanout.Started(route))
 	start := n.clock.Now()
 	inFlight := n.queue.Running()
-	a, broken := n.seams.Run(ctx, r, open.Token(), service.ShedStatus())
+	a, broken := n.seams.Run(ctx, told, open.Token(), service.ShedStatus())
 	whole := n.clock.Now().Sub(start)
 	v := a.Verdict()
 	if !v.IsNotRun() {
--- a/lib/node/node.go
+++ b/lib/node/node.go
@@ -183,6 +183,9 @@
 	}
 	n.hosts.Store(list)
 	n.origin.SetServices(list.Services())
+	if n.settings.untraced {
+		n.buckets.SetSize(max(1, n.settings.retrySpare/float64(max(1, len(list.Endpoints())))))
+	}
 	n.picker.Forget(list)
 	n.adopt(list)
 	_ = level.Info(n.log).Log("msg", "list of hosts in force", "version", list.Version(), "endpoints", len(list.Endpoints()))
--- a/lib/picker/picker.go
+++ b/lib/picker/picker.go
@@ -29,6 +29,8 @@
 	crowded   = 0.8
 	crowdCost = 3.0
 	tieBreak  = 0.01
+	// slowScale is by how much longer an endpoint takes than the quickest for its cost to grow by all of its slots.
+	slowScale = 800 * time.Millisecond
 	// Refusals count by their share of the last answers, and are forgotten with a half-life.
 	refusalWeight   = 0.1
 	refusalHalfLife = time.Second
@@ -93,11 +95,12 @@
 	if len(usable) == 0 {
 		return "", false
 	}
-	now := t.clock.Now()
+	now, quickest := t.clock.Now(), t.quickest(usable)
 	step := (len(usable) + mostCompared - 1) / mostCompared
 	best, least := "", 0.0
 	for i := t.index(step); i < len(usable); i += step {
-		cost := t.cost(usable[i], slots, now)
+		late := t.endpoint(usable[i].RPCAddr()).latency - quickest
+		cost := t.cost(usable[i], slots, now) + float64(max(0, late))/float64(slowScale)
 		if best == "" || cost < least {
 			best, least = usable[i].RPCAddr(), cost
 		}
@@ -105,6 +108,18 @@
 	return best, true
 }
 
+// quickest returns the least smoothed latency among endpoints that have answered.
+func (t *Table) quickest(usable []hosts.Endpoint) time.Duration {
+	least := time.Duration(0)
+	for _, member := range usable {
+		latency := t.endpoint(member.RPCAddr()).latency
+		if latency > 0 && (least == 0 || latency < least) {
+			least = latency
+		}
+	}
+	return least
+}
+
 // cost is the share of an endpoint's slots that is taken, with surcharges for another zone and for refusals.
 func (t *Table) cost(member hosts.Endpoint, slots int, now time.Time) float64 {
 	if member.Slots() > 0 {
--- a/lib/retry/retry.go
+++ b/lib/retry/retry.go
@@ -83,7 +83,14 @@
 	return &Buckets{share: share, size: size, tokens: map[string]float64{}}
 }
 
-// Earn notes a success at a service.
+// SetSize changes how many retries may be saved up.
+func (b *Buckets) SetSize(size float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.size = size
+}
+
+// Earn notes a request that earns its share of a retry at a service.
 func (b *Buckets) Earn(service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -107,5 +114,5 @@
 	if !ok {
 		return b.size
 	}
-	return level
+	return min(b.size, level)
 }
