Messages to a peer leave a connection that has gone silent

Cause: a connection that goes silent for good, without a reset, held all messages to that peer until the kernel gave up, as the requests on it are waited for to their deadlines. Change: where answers are waited for and nothing has come for a second, new messages get a new connection; sent bytes without an acknowledgement end a connection after 3 s, and idle ones are asked for life each second, towards peers, backend servers and the store. Ruled out: closing it at once, since an answer may still come.

--- a/lib/conns/pool.go
+++ b/lib/conns/pool.go
@@ -20,6 +20,10 @@
 	defaultIdle    = 5 * time.Second
 	keepAliveEvery = time.Second
 	keepAliveLost  = 2
+	// unackedTime is how long sent bytes may stay without an acknowledgement, in milliseconds.
+	unackedTime = 3000
+	// tcpUserTimeout is the socket option of RFC 5482, which package syscall does not name.
+	tcpUserTimeout = 0x12
 )
 
 var (
@@ -37,7 +41,7 @@
 
 // DialTCP opens a TCP connection that notices a dead peer within seconds.
 func DialTCP(ctx context.Context, addr string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+	dialer := net.Dialer{Timeout: dialTimeout, Control: setUserTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveEvery, Interval: keepAliveEvery, Count: keepAliveLost,
 	}}
 	return dialer.DialContext(ctx, "tcp", addr)
--- a/lib/conns/quiet.go
+++ b/lib/conns/quiet.go
@@ -26,3 +26,12 @@
 	})
 	return err == nil && quiet
 }
+
+// setUserTimeout bounds how long sent bytes may stay without an acknowledgement.
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var failure error
+	err := raw.Control(func(fd uintptr) {
+		failure = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, unackedTime)
+	})
+	return errors.Join(err, failure)
+}
--- a/lib/relay/peers.go
+++ b/lib/relay/peers.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"tamarackrudder.org/lib/call"
+	"tamarackrudder.org/lib/conns"
 	"tamarackrudder.org/lib/gossip"
 	"tamarackrudder.org/lib/lease"
 	"tamarackrudder.org/lib/spread"
@@ -20,6 +21,10 @@
 	dialTimeout = 500 * time.Millisecond
 	// answerGrace is how long past the deadline a peer's own word is waited for.
 	answerGrace = 20 * time.Millisecond
+	// silence is how long nothing may come on a connection before new messages get another one.
+	silence = time.Second
+	// oldLife is how long a silent connection is kept for the answers that are still waited for on it.
+	oldLife = time.Minute
 )
 
 var errUnreachable = errors.New("peer cannot be reached")
@@ -29,8 +34,9 @@
 
 // DialTCP opens a TCP connection.
 func DialTCP(ctx context.Context, addr string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", addr)
+	ctx, stop := context.WithTimeout(ctx, dialTimeout)
+	defer stop()
+	conn, err := conns.DialTCP(ctx, addr)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errUnreachable, err)
 	}
@@ -41,6 +47,49 @@
 type link struct {
 	mu     sync.Mutex
 	client *rpc.Client
+	heard  *heard
+}
+
+// heard notes when a connection last brought anything, and what is waited for on it.
+type heard struct {
+	net.Conn
+	mu      sync.Mutex
+	pending int
+	since   time.Time // the last bytes, or the first message that is waited for after a pause
+}
+
+// Read reads from the connection and notes that the peer is heard.
+func (h *heard) Read(b []byte) (int, error) {
+	n, err := h.Conn.Read(b)
+	if n > 0 {
+		h.mu.Lock()
+		h.since = time.Now()
+		h.mu.Unlock()
+	}
+	return n, err
+}
+
+func (h *heard) sent() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.pending == 0 {
+		h.since = time.Now()
+	}
+	h.pending++
+}
+
+func (h *heard) answered() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.pending--
+}
+
+// isSilent reports whether answers are waited for and nothing has come for long: the connection may have gone silent for
+// good while a new one would work.
+func (h *heard) isSilent() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.pending > 0 && time.Since(h.since) > silence
 }
 
 // Peers sends messages to other nodes over one connection each.
@@ -64,25 +113,32 @@
 	return l
 }
 
-func (p *Peers) client(ctx context.Context, addr string) (*rpc.Client, error) {
+// client returns the connection to a peer, a new one where the last has gone silent.
+func (p *Peers) client(ctx context.Context, addr string) (*rpc.Client, *heard, error) {
 	l := p.link(addr)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.client != nil && !l.heard.isSilent() {
+		return l.client, l.heard, nil
+	}
 	if l.client != nil {
-		return l.client, nil
+		old := l.heard
+		time.AfterFunc(oldLife, func() { _ = old.Close() })
+		l.client = nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	conn, err := p.dial(ctx, addr)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	if err := exchangeGreetings(conn); err != nil {
 		_ = conn.Close()
-		return nil, err
+		return nil, nil, err
 	}
-	l.client = rpc.NewClientWithCodec(clientCodec{newFramed(conn)})
-	return l.client, nil
+	l.heard = &heard{Conn: conn}
+	l.client = rpc.NewClientWithCodec(clientCodec{newFramed(l.heard)})
+	return l.client, l.heard, nil
 }
 
 // drop forgets a connection that has failed, unless a newer one took its place.
@@ -97,10 +153,12 @@
 
 // Exec runs a request at a peer and returns its answer, or a truthful verdict where none came.
 func (p *Peers) Exec(ctx context.Context, addr string, r call.Request) call.Answer {
-	client, err := p.client(ctx, addr)
+	client, heard, err := p.client(ctx, addr)
 	if err != nil {
 		return call.Refusal(verd.NotRun(dialReason(err)))
 	}
+	heard.sent()
+	defer heard.answered()
 	var reply AnswerWire
 	remaining := time.Until(r.Deadline())
 	pending := client.Go(serviceName+".Exec", toRequestWire(r, remaining), &reply, make(chan *rpc.Call, 1))
@@ -150,10 +208,12 @@
 
 // invoke sends one message and waits for its reply.
 func (p *Peers) invoke(ctx context.Context, addr, method string, args, reply any) error {
-	client, err := p.client(ctx, addr)
+	client, heard, err := p.client(ctx, addr)
 	if err != nil {
 		return err
 	}
+	heard.sent()
+	defer heard.answered()
 	pending := client.Go(serviceName+"."+method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-pending.Done:
