--- a/lib/node/node.go
+++ b/lib/node/node.go
@@ -184,7 +184,7 @@
 	n.hosts.Store(list)
 	n.origin.SetServices(list.Services())
 	if n.settings.untraced {
-		n.buckets.SetSize(max(1, n.settings.retrySpare/float64(max(1, len(list.Endpoints())))))
+		n.buckets.SetSize(n.settings.retrySpare / float64(max(1, len(list.Endpoints()))))
 	}
 	n.picker.Forget(list)
 	n.adopt(list)
--- a/lib/node/untraced_test.go
+++ b/lib/node/untraced_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -122,3 +123,37 @@
 	is.True(a.Verdict().IsNotRun())
 	is.True(a.ComeBack() > 0)
 }
+
+// TestLeavingEndpointEndsItsQueue has more requests wait for an endpoint than it can run before it leaves.
+func TestLeavingEndpointEndsItsQueue(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	n := readyUntraced(t, func(ctx context.Context, _ call.Request) (call.Answer, bool) {
+		select {
+		case <-release:
+		case <-ctx.Done():
+		}
+		return call.NewAnswer(200, nil, nil), false
+	})
+	const requests = 100
+	answers := make(chan call.Answer, requests)
+	for i := range requests {
+		r := call.NewRequest(fmt.Sprint(i), "GET", "/items/1", "").WithRoute("desk", false).
+			WithDeadline(time.Now().Add(patience))
+		go func() { answers <- n.Exec(context.Background(), r) }()
+	}
+	for n.Running() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	began := time.Now()
+	n.Drain(t.Context())
+	for range requests - n.Running() {
+		a := <-answers
+		is.True(a.Verdict().IsNotRun()) // so that the entries send it elsewhere
+	}
+	is.True(time.Since(began) < 1500*time.Millisecond)
+	close(release)
+	for range n.Running() {
+		is.True((<-answers).Verdict().HasRun()) // what has begun is finished
+	}
+}
--- a/lib/retry/retry.go
+++ b/lib/retry/retry.go
@@ -83,18 +83,21 @@
 	return &Buckets{share: share, size: size, tokens: map[string]float64{}}
 }
 
-// SetSize changes how many retries may be saved up.
+// SetSize changes how many retries may be saved up; a bucket begins with as many.
 func (b *Buckets) SetSize(size float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.size = size
 }
 
+// most is how many retries may be saved up; a part of one would never become one.
+func (b *Buckets) most() float64 { return max(1, b.size) }
+
 // Earn notes a request that earns its share of a retry at a service.
 func (b *Buckets) Earn(service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens[service] = min(b.size, b.level(service)+b.share)
+	b.tokens[service] = min(b.most(), b.level(service)+b.share)
 }
 
 // Take takes a retry at a service and reports whether there was one.
@@ -114,5 +117,5 @@
 	if !ok {
 		return b.size
 	}
-	return min(b.size, level)
+	return min(b.most(), level)
 }
