Log lines name the endpoints tried, failures of backend servers and broken connections

Cause: the line of a request that ended without an answer did not say where it had been. Change: 'tried' is named, a backend server's 5xx and a broken connection have lines of their own, and 20 lines a second of each kind are logged (5 before).

--- a/lib/node/entry.go
+++ b/lib/node/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -58,7 +59,7 @@
 // refuse ends a request that is not sent anywhere.
 func (n *Node) refuse(e *entry, v verd.Verdict, start time.Time) call.Answer {
 	a := call.Truthful(e.request, call.Refusal(v)).WithComeBack(n.comeBack(e.request))
-	n.record(e.request, a.Verdict(), start)
+	n.record(e, a.Verdict(), start)
 	return a
 }
 
@@ -174,10 +175,11 @@
 	case e.counted:
 		n.press.Ended(e.flow, shed, e.pressures)
 	}
-	n.record(e.request, v, start)
+	n.record(e, v, start)
 }
 
-func (n *Node) record(r call.Request, v verd.Verdict, start time.Time) {
+func (n *Node) record(e *entry, v verd.Verdict, start time.Time) {
+	r := e.request
 	took := n.clock.Now().Sub(start)
 	n.stats.Record(r.Tenant(), r.Class(), v, took)
 	if v.HasRun() {
@@ -185,7 +187,7 @@
 	}
 	if v.Reason() != verd.ReasonShedEarly {
 		n.decided("request ended without an answer", r, "service", r.Service(), "class", r.Class(),
-			"verdict", v.Kind(), "reason", v.Reason(), "tookMs", took.Milliseconds())
+			"verdict", v.Kind(), "reason", v.Reason(), "tookMs", took.Milliseconds(), "tried", strings.Join(e.tried, ","))
 	}
 }
 
--- a/lib/node/exec.go
+++ b/lib/node/exec.go
@@ -265,6 +265,12 @@
 	case v.Reason() == verd.ReasonBackendShed && !n.settings.untraced:
 		n.limit.Shed()
 	}
+	if v.HasRun() && a.Status() >= failedStatus {
+		n.decided("backend server failed", r, "route", route, "status", a.Status(), "tookMs", whole.Milliseconds(), "inFlight", inFlight)
+	}
+	if broken {
+		n.decided("connection to backend server broke", r, "route", route, "tookMs", whole.Milliseconds())
+	}
 	if broken && n.hasCrashed(ctx) {
 		n.crashes.Crashed(r.Fingerprint())
 		n.beatNow()
--- a/lib/node/node.go
+++ b/lib/node/node.go
@@ -35,7 +35,7 @@
 	initialSlots = 16
 	unlimited    = 1 << 20
 	// linesPerSecond bounds the lines of one kind that a node logs about single requests.
-	linesPerSecond = 5
+	linesPerSecond = 20
 	// workingShare is the part of its slots that a backend server is given; some slow down when all are taken.
 	workingShare = 0.93
 )
