--- a/lib/fanout/fanout.go
+++ b/lib/fanout/fanout.go
@@ -209,8 +209,8 @@
 // count comes out below zero, or makes up too small a part of the calls, are left out one by one.
 func (t *Table) counts(c int) []float64 {
 	active := make([]int, 0, len(t.sources))
-	for i := range t.sources {
-		if t.squares[i][i] > 0 {
+	for i, source := range t.sources {
+		if t.squares[i][i] > 0 && source != t.targets[c] { // a request would never end that calls its own route
 			active = append(active, i)
 		}
 	}
--- a/lib/fanout/fanout_test.go
+++ b/lib/fanout/fanout_test.go
@@ -109,3 +109,24 @@
 		})
 	}
 }
+
+// TestNoRouteCallsItself has a route run by the service whose other requests call it.
+func TestNoRouteCallsItself(t *testing.T) {
+	is := is.New(t)
+	c := clock.NewManual(time.Unix(1_800_000_000, 0))
+	table := fanout.NewTable(c)
+	random := rand.New(rand.NewPCG(3, 3))
+	for range 2000 {
+		c.Advance(5 * time.Millisecond)
+		if random.Float64() < 0.3 {
+			outer, inner := table.Started("outer"), table.Started("inner")
+			table.Called("inner")
+			c.Advance(10 * time.Millisecond)
+			table.Ended(inner)
+			table.Ended(outer)
+		}
+	}
+	is.Equal(count(table.Calls("inner"), "inner"), 0.0)
+	outer := count(table.Calls("outer"), "inner")
+	is.True(outer > 0.8 && outer < 1.2)
+}
--- a/lib/node/status.go
+++ b/lib/node/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"tamarackrudder.org/lib/crash"
@@ -73,13 +74,15 @@
 // InFlight returns the number of requests that this node has open, as entry or for its backend server.
 func (n *Node) InFlight() int { return n.serving.len() + n.executing.len() }
 
-// Explain says step by step what would happen to a request.
+// Explain says step by step what would happen to a request; a host name may stand before the path.
 func (n *Node) Explain(method, path, key string) []string {
+	host, rest, _ := strings.Cut(path, "/")
+	path = "/" + rest
 	set := n.rules.Load()
 	if set == nil {
 		return []string{"no rules are in force: refused as not run (noRules)"}
 	}
-	route, ok := set.Match("", method, path)
+	route, ok := set.Match(host, method, path)
 	if !ok {
 		return []string{fmt.Sprintf("no route of rules version %d fits: refused as not run (unknownRoute)", set.Version())}
 	}
@@ -88,19 +91,18 @@
 		fmt.Sprintf("route %q, asked by %s, in rules version %d", route.Name(), route.AskedBy(), set.Version()),
 		fmt.Sprintf("class %s with priority %d, timeout %s, %d retries over the whole chain",
 			class.Name(), class.Priority(), route.Timeout(), route.Retries()),
-		fmt.Sprintf("share let through at entry: %.2f", n.press.Share(press.NewFlow(route.Name(), class.Name()))),
+		fmt.Sprintf("share let through at entry: %.2f", n.share(route.Name(), class.Name())),
 	}
 	return append(lines, n.explainTarget(route, key)...)
 }
 
 func (n *Node) explainTarget(route rules.Route, key string) []string {
 	list := n.hosts.Load()
-	if list == nil || len(list.Members(route.Service())) == 0 {
+	if list == nil || (len(route.Split()) == 0 && len(list.Members(route.Service())) == 0) {
 		return []string{fmt.Sprintf("no endpoint of service %s is known: refused as not run (noEndpoint)", route.Service())}
 	}
-	if !route.NonIdempotent() {
-		return []string{fmt.Sprintf("idempotent: one of %d endpoints of service %s, by load and availability zone",
-			len(list.Members(route.Service())), route.Service())}
+	if !route.Keyed() {
+		return n.explainAny(route, list)
 	}
 	if key == "" {
 		return []string{"non-idempotent without an Idempotency-Key: refused as not run (keyMissing)"}
@@ -115,6 +117,32 @@
 	return lines
 }
 
+// share returns the share of a route's requests that is let in here.
+func (n *Node) share(route, class string) float64 {
+	if n.settings.untraced {
+		return n.gate.Share(route)
+	}
+	return n.press.Share(press.NewFlow(route, class))
+}
+
+// explainAny says where a request may run that any endpoint may.
+func (n *Node) explainAny(route rules.Route, list *hosts.List) []string {
+	kind := "idempotent"
+	if route.NonIdempotent() {
+		kind = "non-idempotent without a key: sent again only if it provably did not run"
+	}
+	var lines []string
+	for _, service := range route.Services() {
+		lines = append(lines, fmt.Sprintf("%s: one of %d endpoints of service %s, by load and availability zone",
+			kind, len(list.Members(service)), service))
+	}
+	for _, need := range n.gate.Needs(route.Name()) {
+		lines = append(lines, fmt.Sprintf("takes %s of slots of service %s, whose level is %.2f",
+			need.Cost().Round(time.Millisecond), need.Service(), need.Level()))
+	}
+	return lines
+}
+
 func (n *Node) explainPermit(key string) string {
 	permit := n.group.Permit(key)
 	if !permit.Allowed() {
--- a/lib/picker/doc.go
+++ b/lib/picker/doc.go
@@ -1,8 +1,7 @@
-// Package picker chooses an endpoint for an idempotent request.
+// Package picker chooses an endpoint for a request that any of them may run.
 //
-// It compares two endpoints drawn at random by their load (Mitzenmacher, "The Power of
-// Two Choices in Randomized Load Balancing", 2001), keeps to its own availability
-// zone until that is loaded, and sets endpoints aside on its own evidence only.
+// It takes the one with the lowest cost: the share of its slots that is taken, with surcharges for another availability
+// zone, for latency beyond the quickest endpoint's, and for refusals. It sets endpoints aside on its own evidence only.
 //
 // Lock order: a Table's lock is taken alone.
 package picker
