--- a/lib/fanout/fanout.go
+++ b/lib/fanout/fanout.go
@@ -1,6 +1,7 @@
 package fanout
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -25,7 +26,9 @@
 	fewestCalls = 0.05
 	// leastPart is the part of all calls of a route below which those of one source are taken to be another's: the counts
 	// are not more exact, and so few calls matter little.
-	leastPart    = 0.05
+	leastPart = 0.05
+	// fewestSeen is how many requests and calls of a route there must have been lately for them to tell anything.
+	fewestSeen   = 20.0
 	lengthWeight = 0.05
 )
 
@@ -69,6 +72,7 @@
 	squares [maxRoutes][maxRoutes]float64
 	mixed   [maxRoutes][maxRoutes]float64
 	totals  [maxRoutes]float64 // requests of each source, faded like the sums
+	made    [maxRoutes]float64 // calls of each target, the same
 	calls   map[string][]Call
 }
 
@@ -126,6 +130,13 @@
 	return t.calls[route]
 }
 
+// Routes returns the routes whose requests make calls, in order.
+func (t *Table) Routes() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Sorted(maps.Keys(t.calls))
+}
+
 // place returns the index of a route, which it adds where there is room, and -1 where there is none.
 func place(routes *[]string, route string) int {
 	if i := slices.Index(*routes, route); i >= 0 {
@@ -189,6 +200,9 @@
 			t.mixed[i][c] = kept*t.mixed[i][c] + oldest.requests[i]*oldest.calls[c]
 		}
 	}
+	for c := range t.targets {
+		t.made[c] = kept*t.made[c] + oldest.calls[c]
+	}
 	t.solve()
 }
 
@@ -196,6 +210,9 @@
 func (t *Table) solve() {
 	calls := map[string][]Call{}
 	for c, target := range t.targets {
+		if t.made[c] < fewestSeen {
+			continue
+		}
 		for i, count := range t.counts(c) {
 			if count >= fewestCalls {
 				calls[t.sources[i]] = append(calls[t.sources[i]], NewCall(target, count))
@@ -210,7 +227,7 @@
 func (t *Table) counts(c int) []float64 {
 	active := make([]int, 0, len(t.sources))
 	for i, source := range t.sources {
-		if t.squares[i][i] > 0 && source != t.targets[c] { // a request would never end that calls its own route
+		if t.totals[i] >= fewestSeen && source != t.targets[c] { // a request would never end that calls its own route
 			active = append(active, i)
 		}
 	}
--- a/lib/fanout/fanout_test.go
+++ b/lib/fanout/fanout_test.go
@@ -130,3 +130,26 @@
 	outer := count(table.Calls("outer"), "inner")
 	is.True(outer > 0.8 && outer < 1.2)
 }
+
+// TestRareRoutesTellNothing has a few requests of rare routes come and run among many others.
+func TestRareRoutesTellNothing(t *testing.T) {
+	is := is.New(t)
+	c := clock.NewManual(time.Unix(1_800_000_000, 0))
+	table := fanout.NewTable(c)
+	for i := range 2000 {
+		c.Advance(5 * time.Millisecond)
+		run := table.Started("usual")
+		table.Called("scale")
+		c.Advance(5 * time.Millisecond)
+		if i%250 == 0 {
+			rare := table.Started("rare")
+			table.Called("probe")
+			c.Advance(5 * time.Millisecond)
+			table.Ended(rare)
+		}
+		table.Ended(run)
+	}
+	is.Equal(len(table.Calls("rare")), 0)
+	is.Equal(count(table.Calls("usual"), "probe"), 0.0)
+	is.True(count(table.Calls("usual"), "scale") > 0.9)
+}
--- a/lib/node/loadlog.go
+++ b/lib/node/loadlog.go
@@ -36,7 +36,7 @@
 	}
 }
 
-// logNeeds says what the routes of callers are taken to need, and how much of each is let in.
+// logNeeds says what the routes of callers are taken to need, how much of each is let in, and what calls were learned.
 func (n *Node) logNeeds() {
 	for _, route := range n.origin.Routes() {
 		fields := []any{"msg", "needs", "route", route, "share", n.gate.Share(route)}
@@ -45,4 +45,11 @@
 		}
 		_ = level.Info(n.log).Log(fields...)
 	}
+	for _, route := range n.fanout.Routes() {
+		fields := []any{"msg", "calls", "route", route}
+		for _, c := range n.fanout.Calls(route) {
+			fields = append(fields, "callee", c.Route(), "count", fmt.Sprintf("%.2f", c.Count()))
+		}
+		_ = level.Info(n.log).Log(fields...)
+	}
 }
