--- a/lib/conns/pool.go
+++ b/lib/conns/pool.go
@@ -63,7 +63,6 @@
 	mu     sync.Mutex
 	idle   []*conn // the one used last stands last
 	opened int
-	dialed int
 }
 
 // NewPool returns a pool of at most so many connections to an IP address and port.
@@ -71,20 +70,6 @@
 	return &Pool{addr: addr, most: most, dial: dial}
 }
 
-// SetMost changes how many connections there may be.
-func (p *Pool) SetMost(most int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.most = most
-}
-
-// Dialed returns how many connections have been opened so far.
-func (p *Pool) Dialed() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.dialed
-}
-
 // take returns a connection without unread bytes, a kept one if there is.
 func (p *Pool) take(ctx context.Context) (*conn, error) {
 	for {
@@ -118,7 +103,6 @@
 		return nil, fmt.Errorf("%w: %w", ErrUnsent, errFull)
 	}
 	p.opened++
-	p.dialed++
 	p.mu.Unlock()
 	raw, err := p.dial(ctx, p.addr)
 	if err != nil {
--- a/lib/node/common.go
+++ b/lib/node/common.go
@@ -68,7 +68,8 @@
 // WithWatching returns the settings of a node that always watches the platform itself.
 func (s Settings) WithWatching() Settings { s.watching = true; return s }
 
-// WithRetries returns the settings with how many retries each first attempt earns, and how many may be saved up.
+// WithRetries returns the settings with how many retries each request earns, and how many all nodes together
+// may save up.
 func (s Settings) WithRetries(share, spare float64) Settings {
 	s.retryShare, s.retrySpare = share, spare
 	return s
--- a/lib/node/entry.go
+++ b/lib/node/entry.go
@@ -110,7 +110,7 @@
 	}
 	e.flow = press.NewFlow(e.route.Name(), e.request.Class())
 	// A resend of a non-idempotent request mostly gets a stored answer, which says nothing about load.
-	e.counted = n.settings.control == ControlFull && !n.settings.untraced && (e.request.Fresh() || !e.request.NonIdempotent())
+	e.counted = n.settings.control == ControlFull && (e.request.Fresh() || !e.request.NonIdempotent())
 	if e.counted && !n.press.Admit(e.flow) {
 		return notRun(verd.ReasonShedEarly)
 	}
--- a/lib/node/node.go
+++ b/lib/node/node.go
@@ -123,8 +123,7 @@
 	go n.watchLoop(NameHosts, n.hostsStore)
 	if s.untraced {
 		go n.logLoad()
-	}
-	if common.seams.Probe != nil && !s.untraced {
+	} else {
 		go n.probeLoop()
 	}
 	return n
--- a/lib/queue/queue.go
+++ b/lib/queue/queue.go
@@ -269,9 +269,8 @@
 
 // Open returns how many tickets run or wait.
 func (q *Queue) Open() int {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.running + len(q.waiting)
+	running, waiting := q.Counts()
+	return running + waiting
 }
 
 // Holds reports whether a ticket of a priority would wait behind a good number of tickets of higher ones.
