A slow spell no longer keeps an endpoint refusing, and quick refusals no longer draw requests

Three nodes that had been stopped refused all calls with 'deadline' in 0 ms: the run times they had learned (1.1 s) were above what calls have left (0.7 s), nothing ran, and so nothing corrected them. The others kept sending to them, because a refusal after 0 ms counted as a quick answer. Ruled out: the silent connections themselves (served again 3 s after them); leases, draining, list of hosts (the nodes were listed and ready). Change: run times that serve to refuse fade with a half-life of 0.5 s without samples, as those of the traced path do; the picker is told one outcome of four, and only answers that ran speak of latency; refusals for load raise an endpoint's cost whoever refused, node or backend server. Tests that failed first: TestSlowSpellEnds (never served again), TestQuickRefusalsDrawNothing.

--- a/lib/node/attempt.go
+++ b/lib/node/attempt.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"tamarackrudder.org/lib/call"
+	"tamarackrudder.org/lib/picker"
 	"tamarackrudder.org/lib/verd"
 )
 
@@ -113,10 +114,7 @@
 		unspent = handed
 	}
 	e.ledger.Return(handed, unspent)
-	n.picker.Answered(addr, n.clock.Now().Sub(start), a.InFlight(), isBroken(v))
-	if v.HasRun() || v.Reason() == verd.ReasonBackendShed {
-		n.picker.Refused(addr, !v.HasRun())
-	}
+	n.picker.Answered(addr, n.clock.Now().Sub(start), a.InFlight(), outcomeOf(v))
 	switch v.Reason() {
 	case verd.ReasonLeaving:
 		n.picker.Leaving(addr)
@@ -127,13 +125,20 @@
 	return a
 }
 
-func isBroken(v verd.Verdict) bool {
+// outcomeOf returns what an attempt tells of the endpoint that it was sent to.
+func outcomeOf(v verd.Verdict) picker.Outcome {
 	switch v.Reason() {
 	case verd.ReasonPeerUnreachable, verd.ReasonPeerVersion, verd.ReasonBackendDown, verd.ReasonAnswerLost,
 		verd.ReasonSilent:
-		return true
+		return picker.Broken
 	}
-	return false
+	switch {
+	case v.HasRun():
+		return picker.Served
+	case v.IsNotRun() && v.IsOverload():
+		return picker.Refused
+	}
+	return picker.Declined
 }
 
 // sendPatiently gives up on an endpoint that has fallen silent while a retry is left for another one. The attempt keeps
--- a/lib/node/needs.go
+++ b/lib/node/needs.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -14,6 +15,9 @@
 	// tellEvery is the least time between two answers of a route that carry what its requests need.
 	tellEvery     = 4 * time.Millisecond
 	runTimeWeight = 0.05
+	// estimateLife is the half-life of a run time without samples when it serves to refuse requests that cannot finish;
+	// else one that keeps all requests away would last.
+	estimateLife = 500 * time.Millisecond
 	// deeperBonus puts the calls of requests that have begun before all others in a queue.
 	deeperBonus = 10_000
 	// Callers are asked to come back after a part of their goal, drawn between these bounds.
@@ -23,27 +27,35 @@
 	longestWaiting = 1500 * time.Millisecond
 )
 
+// runTime is the smoothed time that the requests of a route run.
+type runTime struct {
+	mean    time.Duration
+	sampled time.Time
+	told    time.Time
+}
+
 // runTimes holds how long the requests of each route run on the own backend server.
 type runTimes struct {
-	clock clock.Clock
-	mu    sync.Mutex
-	means map[string]time.Duration
-	told  map[string]time.Time
+	clock  clock.Clock
+	mu     sync.Mutex
+	routes map[string]*runTime
 }
 
 func newRunTimes(c clock.Clock) *runTimes {
-	return &runTimes{clock: c, means: map[string]time.Duration{}, told: map[string]time.Time{}}
+	return &runTimes{clock: c, routes: map[string]*runTime{}}
 }
 
 func (t *runTimes) sample(route string, took time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, name := range []string{route, limit.AllRoutes} {
-		mean, known := t.means[name]
+		r, known := t.routes[name]
 		if !known {
-			mean = took
+			r = &runTime{mean: took}
+			t.routes[name] = r
 		}
-		t.means[name] = mean + time.Duration(runTimeWeight*float64(took-mean))
+		r.mean += time.Duration(runTimeWeight * float64(took-r.mean))
+		r.sampled = t.clock.Now()
 	}
 }
 
@@ -51,20 +63,35 @@
 func (t *runTimes) mean(route string) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.means[route]
+	if r, known := t.routes[route]; known {
+		return r.mean
+	}
+	return 0
+}
+
+// estimate returns the mean of a route, faded by the time since its last sample.
+func (t *runTimes) estimate(route string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, known := t.routes[route]
+	if !known {
+		return 0
+	}
+	kept := math.Exp2(-float64(t.clock.Now().Sub(r.sampled)) / float64(estimateLife))
+	return time.Duration(float64(r.mean) * min(1, kept))
 }
 
 // due returns the mean of a route where it is time to tell it.
 func (t *runTimes) due(route string) (time.Duration, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	mean, known := t.means[route]
+	r, known := t.routes[route]
 	now := t.clock.Now()
-	if !known || now.Sub(t.told[route]) < tellEvery {
+	if !known || now.Sub(r.told) < tellEvery {
 		return 0, false
 	}
-	t.told[route] = now
-	return mean, true
+	r.told = now
+	return r.mean, true
 }
 
 // needsOf returns what requests of a route take here, and of the services that their calls go to.
--- a/lib/node/node.go
+++ b/lib/node/node.go
@@ -279,7 +279,7 @@
 	case n.settings.untraced && route == limit.AllRoutes:
 		return 0
 	case n.settings.untraced:
-		return n.costs.mean(route)
+		return n.costs.estimate(route)
 	}
 	return n.limit.Estimate(route)
 }
--- a/lib/node/untraced_test.go
+++ b/lib/node/untraced_test.go
@@ -233,3 +233,27 @@
 	is.True(share <= mostShare)
 	is.True(ran["shop"] > 20)
 }
+
+// TestSlowSpellEnds has a backend server take long for a while, as after its host was stopped: callers that wait less
+// than that are served again soon after it has become quick.
+func TestSlowSpellEnds(t *testing.T) {
+	is := is.New(t)
+	const slow, wait, settled = 300 * time.Millisecond, 200 * time.Millisecond, 2 * time.Second
+	quick := false
+	n := readyUntraced(t, func(context.Context, call.Request) (call.Answer, bool) {
+		if !quick {
+			time.Sleep(slow)
+		}
+		return call.NewAnswer(200, nil, nil), false
+	})
+	for i := range 3 {
+		n.Serve(t.Context(), call.NewRequest(fmt.Sprint("slow", i), "GET", "/items/1", ""))
+	}
+	quick = true
+	served := false
+	for end := time.Now().Add(settled); !served && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		a := n.Serve(t.Context(), call.NewRequest("quick", "GET", "/items/1", "").WithTimeout(wait))
+		served = a.Verdict().HasRun()
+	}
+	is.True(served)
+}
--- a/lib/picker/picker.go
+++ b/lib/picker/picker.go
@@ -42,6 +42,21 @@
 	latencyWeight    = 0.05
 )
 
+// Outcome is what the end of a request tells of the endpoint that it was sent to.
+type Outcome int
+
+// The outcomes.
+const (
+	// Served is the end of a request that ran.
+	Served Outcome = iota
+	// Refused is a refusal for load, which says nothing about how quick the endpoint is.
+	Refused
+	// Declined is any other refusal.
+	Declined
+	// Broken says that the endpoint or its backend server failed.
+	Broken
+)
+
 type endpoint struct {
 	inFlight     int
 	reported     int
@@ -190,11 +205,8 @@
 	return e.refused * math.Exp2(-float64(now.Sub(e.refusedAt))/float64(refusalHalfLife))
 }
 
-// Refused notes whether the backend server of an endpoint refused a request that its node sent it.
-func (t *Table) Refused(addr string, refused bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e, now := t.endpoint(addr), t.clock.Now()
+// refuse takes in whether an endpoint refused a request for its load.
+func (e *endpoint) refuse(refused bool, now time.Time) {
 	goal := 0.0
 	if refused {
 		goal = 1
@@ -239,26 +251,32 @@
 	return t.patience()
 }
 
-// Answered notes the end of a request after a time; broken tells that the endpoint or its backend server failed.
-func (t *Table) Answered(addr string, took time.Duration, reported int, broken bool) {
+// Answered notes the end of a request after a time, with what the endpoint reported to have in flight.
+func (t *Table) Answered(addr string, took time.Duration, reported int, outcome Outcome) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.endpoint(addr)
 	e.inFlight--
 	now := t.clock.Now()
-	if !broken {
-		t.latency += time.Duration(latencyWeight * float64(took-t.latency))
-		e.latency += time.Duration(latencyWeight * float64(took-e.latency))
-		e.reported, e.sentSince, e.reportedAt, e.waitingSince = reported, 0, now, now
-		e.failures, e.lost = 0, false
-		if now.Sub(e.readyAt) > longestEjection {
-			e.ejections = 0
+	if outcome == Broken {
+		e.failures++
+		if e.failures >= failuresToEject && !now.Before(e.ejectedUntil) {
+			e.eject(now)
 		}
 		return
 	}
-	e.failures++
-	if e.failures >= failuresToEject && !now.Before(e.ejectedUntil) {
-		e.eject(now)
+	switch outcome {
+	case Served:
+		t.latency += time.Duration(latencyWeight * float64(took-t.latency))
+		e.latency += time.Duration(latencyWeight * float64(took-e.latency))
+		e.refuse(false, now)
+	case Refused:
+		e.refuse(true, now)
+	}
+	e.reported, e.sentSince, e.reportedAt, e.waitingSince = reported, 0, now, now
+	e.failures, e.lost = 0, false
+	if now.Sub(e.readyAt) > longestEjection {
+		e.ejections = 0
 	}
 }
 
--- a/lib/picker/picker_test.go
+++ b/lib/picker/picker_test.go
@@ -49,13 +49,13 @@
 	is.Equal(len(spilled), 4) // all of the other zones, and none of the full ones
 	is.Equal(spilled[members[0].RPCAddr()]+spilled[members[1].RPCAddr()], 0)
 	for range slots {
-		p.Answered(members[0].RPCAddr(), time.Millisecond, 0, false)
-		p.Answered(members[1].RPCAddr(), time.Millisecond, 0, false)
+		p.Answered(members[0].RPCAddr(), time.Millisecond, 0, picker.Served)
+		p.Answered(members[1].RPCAddr(), time.Millisecond, 0, picker.Served)
 	}
 	is.Equal(len(picks(p, members)), 2)
 	for range 3 {
 		p.Sent(members[0].RPCAddr())
-		p.Answered(members[0].RPCAddr(), time.Millisecond, 0, true)
+		p.Answered(members[0].RPCAddr(), time.Millisecond, 0, picker.Broken)
 	}
 	is.Equal(p.Ejected(), []string{members[0].RPCAddr()})
 	is.Equal(picks(p, members)[members[0].RPCAddr()], 0)
@@ -75,7 +75,7 @@
 	c.Advance(time.Hour)
 	lost := members[0].RPCAddr()
 	p.Sent(lost)
-	p.Answered(lost, time.Second, 0, true)
+	p.Answered(lost, time.Second, 0, picker.Broken)
 	p.Lost(lost)
 	c.Advance(time.Minute)
 	is.True(!p.IsSound(lost)) // time alone is no sign of life
@@ -94,9 +94,33 @@
 	for _, e := range members {
 		for range 3 {
 			p.Sent(e.RPCAddr())
-			p.Answered(e.RPCAddr(), time.Millisecond, 0, true)
+			p.Answered(e.RPCAddr(), time.Millisecond, 0, picker.Broken)
 		}
 	}
 	is.Equal(len(p.Ejected()), len(members))
 	is.True(len(picks(p, members)) > 0) // evidence against all is evidence against none
 }
+
+// TestQuickRefusalsDrawNothing has one endpoint refuse all that it is sent at once, and others take their time to serve.
+func TestQuickRefusalsDrawNothing(t *testing.T) {
+	is := is.New(t)
+	c := clock.NewManual(time.Unix(1_800_000_000, 0))
+	p, members := table(c)
+	c.Advance(time.Hour)
+	refusing := members[0].RPCAddr()
+	sent := 0
+	for range 500 {
+		c.Advance(10 * time.Millisecond)
+		addr, ok := p.Pick(members, nil, slots)
+		is.True(ok)
+		p.Sent(addr)
+		if addr == refusing {
+			sent++
+			p.Answered(addr, time.Millisecond, 0, picker.Refused)
+			continue
+		}
+		p.Answered(addr, 200*time.Millisecond, 1, picker.Served)
+	}
+	t.Logf("%d of 500 sent to the endpoint that refuses", sent)
+	is.True(sent < 100) // less than its share of the own zone, and not the most of all
+}
