A connection between nodes is tested by pings, and safe requests leave a silent one

Requests in flight on a silent connection waited for their deadline, or for the system to give the connection up after 3 s; one second without any answer was needed before new messages took another connection. Ruled out: a shorter time in the system's TCP (a host that stopped for three seconds would lose what runs there at most once and could still answer). Change: where answers are waited for and nothing came for 0.2 s, a ping is sent; unanswered for 0.35 s, new messages get a new connection, and requests that may run again are given back: 'linkSilent' where the peer answers on the new connection, 'silent' where it does not. Others wait as before. Tests that failed first: TestRequestOnSilentConnection (two of its three cases); TestSlowPeerIsNotSilent shows that a slow peer keeps its connection. A first form of that test hung for 600 s (its stand-in of a connection knew no deadline while greeting); it now fails to dial instead.

--- a/lib/front/text.go
+++ b/lib/front/text.go
@@ -59,6 +59,7 @@
 	verd.ReasonPeerVersion:     "the endpoint's node speaks another version",
 	verd.ReasonAnswerLost:      "the connection failed before the whole answer came",
 	verd.ReasonSilent:          "the endpoint did not answer in time",
+	verd.ReasonLinkSilent:      "the connection to the endpoint fell silent",
 	verd.ReasonAnswerTooLarge:  "the answer is larger than can be passed on",
 }
 
--- a/lib/node/attempt.go
+++ b/lib/node/attempt.go
@@ -77,7 +77,8 @@
 		return false // it may have crashed two backend servers
 	}
 	switch v.Reason() {
-	case verd.ReasonQueueFull, verd.ReasonBackendShed, verd.ReasonAnswerLost, verd.ReasonSilent:
+	case verd.ReasonQueueFull, verd.ReasonBackendShed, verd.ReasonAnswerLost, verd.ReasonSilent,
+		verd.ReasonLinkSilent:
 	default:
 		return false
 	}
--- a/lib/relay/peers.go
+++ b/lib/relay/peers.go
@@ -21,8 +21,8 @@
 	dialTimeout = 500 * time.Millisecond
 	// answerGrace is how long past the deadline a peer's own word is waited for.
 	answerGrace = 20 * time.Millisecond
-	// silence is how long nothing may come on a connection before new messages get another one.
-	silence = time.Second
+	// pingTimeout is how long a peer may take to answer on a new connection.
+	pingTimeout = 300 * time.Millisecond
 	// oldLife is how long a silent connection is kept for the answers that are still waited for on it.
 	oldLife = time.Minute
 )
@@ -43,55 +43,6 @@
 	return conn, nil
 }
 
-// link is the connection to one peer; its lock is held while it is being opened.
-type link struct {
-	mu     sync.Mutex
-	client *rpc.Client
-	heard  *heard
-}
-
-// heard notes when a connection last brought anything, and what is waited for on it.
-type heard struct {
-	net.Conn
-	mu      sync.Mutex
-	pending int
-	since   time.Time // the last bytes, or the first message that is waited for after a pause
-}
-
-// Read reads from the connection and notes that the peer is heard.
-func (h *heard) Read(b []byte) (int, error) {
-	n, err := h.Conn.Read(b)
-	if n > 0 {
-		h.mu.Lock()
-		h.since = time.Now()
-		h.mu.Unlock()
-	}
-	return n, err
-}
-
-func (h *heard) sent() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.pending == 0 {
-		h.since = time.Now()
-	}
-	h.pending++
-}
-
-func (h *heard) answered() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.pending--
-}
-
-// isSilent reports whether answers are waited for and nothing has come for long: the connection may have gone silent for
-// good while a new one would work.
-func (h *heard) isSilent() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.pending > 0 && time.Since(h.since) > silence
-}
-
 // Peers sends messages to other nodes over one connection each.
 type Peers struct {
 	dial  Dial
@@ -164,12 +115,22 @@
 	pending := client.Go(serviceName+".Exec", toRequestWire(r, remaining), &reply, make(chan *rpc.Call, 1))
 	late := time.NewTimer(remaining + answerGrace)
 	defer late.Stop()
-	select {
-	case <-pending.Done:
-		return p.ended(addr, client, pending, &reply)
-	case <-late.C:
-		return call.Refusal(verd.MayHaveRun(verd.ReasonSilent))
-	case <-ctx.Done():
+	doubt := time.NewTicker(quiet)
+	defer doubt.Stop()
+	for waiting := true; waiting; {
+		select {
+		case <-pending.Done:
+			return p.ended(addr, client, pending, &reply)
+		case <-late.C:
+			return call.Refusal(verd.MayHaveRun(verd.ReasonSilent))
+		case <-doubt.C:
+			if heard.isSilent() && !r.NonIdempotent() {
+				return p.givenUp(ctx, addr)
+			}
+			heard.test(client)
+		case <-ctx.Done():
+			waiting = false
+		}
 	}
 	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		client.Go(serviceName+".Cancel", r.ID(), &Empty{}, make(chan *rpc.Call, 1))
@@ -182,6 +143,17 @@
 	}
 }
 
+// givenUp returns why a request that may run again is not waited for any longer: only its connection fell silent where
+// the peer answers on another.
+func (p *Peers) givenUp(ctx context.Context, addr string) call.Answer {
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	if err := p.invoke(ctx, addr, methodPing, Empty{}, &Empty{}); err != nil {
+		return call.Refusal(verd.MayHaveRun(verd.ReasonSilent))
+	}
+	return call.Refusal(verd.MayHaveRun(verd.ReasonLinkSilent))
+}
+
 func dialReason(err error) verd.Reason {
 	if errors.Is(err, ErrVersion) {
 		return verd.ReasonPeerVersion
--- a/lib/relay/server.go
+++ b/lib/relay/server.go
@@ -137,6 +137,9 @@
 	return nil
 }
 
+// Ping says that the connection works.
+func (n *Node) Ping(Empty, *Empty) error { return nil }
+
 // Beat takes in a heartbeat.
 func (n *Node) Beat(args BeatWire, reply *BeatWire) error {
 	*reply = toBeatWire(n.handlers.Beat(args.beat()))
--- a/lib/relay/silent_test.go
+++ b/lib/relay/silent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -11,6 +12,7 @@
 
 	"tamarackrudder.org/lib/call"
 	"tamarackrudder.org/lib/relay"
+	"tamarackrudder.org/lib/verd"
 )
 
 // mute is a connection that goes silent for good: nothing that is sent arrives, and nothing comes.
@@ -64,3 +66,65 @@
 	is.True(exec(time.Second).Verdict().HasRun())
 	is.Equal(dials, 2)
 }
+
+// TestRequestOnSilentConnection has requests wait when their connection falls silent: one that may run again is given
+// back within a second, the other one is waited for.
+func TestRequestOnSilentConnection(t *testing.T) {
+	const limit, soon = 3 * time.Second, time.Second
+	tests := []struct {
+		name          string
+		nonIdempotent bool
+		reachable     bool
+		want          verd.Verdict
+		atOnce        bool
+	}{
+		{"may run again", false, true, verd.MayHaveRun(verd.ReasonLinkSilent), true},
+		{"may run again, peer is gone", false, false, verd.MayHaveRun(verd.ReasonSilent), true},
+		{"runs at most once", true, true, verd.MayHaveRun(verd.ReasonSilent), false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			addr := serve(t, echo)
+			silent, closed, dials := &atomic.Bool{}, make(chan struct{}), &atomic.Int64{}
+			t.Cleanup(func() { close(closed) })
+			peers := relay.NewPeers(func(ctx context.Context, addr string) (net.Conn, error) {
+				first := dials.Add(1) == 1
+				if !first && !test.reachable {
+					return nil, errors.New("no route to host")
+				}
+				conn, err := relay.DialTCP(ctx, addr)
+				if first {
+					return mute{Conn: conn, silent: silent, closed: closed}, err
+				}
+				return conn, err
+			})
+			r := request("1", "body", limit).WithRoute("desk", test.nonIdempotent)
+			ctx, cancel := context.WithDeadline(t.Context(), r.Deadline())
+			defer cancel()
+			is.True(peers.Exec(ctx, addr, r).Verdict().HasRun())
+			silent.Store(true)
+			start := time.Now()
+			a := peers.Exec(ctx, addr, r)
+			is.Equal(a.Verdict(), test.want)
+			is.Equal(time.Since(start) < soon, test.atOnce)
+		})
+	}
+}
+
+// TestSlowPeerIsNotSilent has a peer take longer over a request than a connection may be silent.
+func TestSlowPeerIsNotSilent(t *testing.T) {
+	is := is.New(t)
+	addr := serve(t, func(ctx context.Context, r call.Request) call.Answer {
+		time.Sleep(2 * time.Second)
+		return echo(ctx, r)
+	})
+	dials := 0
+	peers := relay.NewPeers(func(ctx context.Context, addr string) (net.Conn, error) {
+		dials++
+		return relay.DialTCP(ctx, addr)
+	})
+	r := request("1", "body", 5*time.Second)
+	is.True(peers.Exec(t.Context(), addr, r).Verdict().HasRun())
+	is.Equal(dials, 1)
+}
--- a/lib/verd/verd.go
+++ b/lib/verd/verd.go
@@ -52,6 +52,7 @@
 	ReasonPeerVersion     Reason = "peerVersion"
 	ReasonAnswerLost      Reason = "answerLost"
 	ReasonSilent          Reason = "silent"
+	ReasonLinkSilent      Reason = "linkSilent"
 	ReasonAnswerTooLarge  Reason = "answerTooLarge"
 )
 
