Room at a backend server is used whatever run times were learned

Ruled out: leaving long runs out of the samples (no run is longer than the bound that marks a stopped process); a bound on single samples (twenty requests in flight are enough to move the mean).

--- a/lib/queue/queue.go
+++ b/lib/queue/queue.go
@@ -102,7 +102,7 @@
 func (q *Queue) late() []*Ticket {
 	var late []*Ticket
 	q.waiting = slices.DeleteFunc(q.waiting, func(t *Ticket) bool {
-		if q.fits(t, 0) {
+		if q.inTime(t, 0) {
 			return false
 		}
 		t.waiting = false
@@ -140,7 +140,7 @@
 		t := q.waiting[0]
 		q.waiting = q.waiting[1:]
 		t.waiting = false
-		if q.fits(t, 0) {
+		if q.fits(t, 0) || (len(q.waiting) == 0 && q.isOpen(t)) {
 			q.running++
 			return t, late
 		}
@@ -165,6 +165,18 @@
 	return !q.clock.Now().Add(wait + t.needs).After(t.deadline)
 }
 
+// isOpen reports whether a ticket's deadline has not passed.
+func (q *Queue) isOpen(t *Ticket) bool { return q.clock.Now().Before(t.deadline) }
+
+// inTime reports whether a ticket at a place of the line is worth running. Where there is room, one whose deadline has
+// not passed is: it keeps no other out, and how long it runs is only known by letting some run.
+func (q *Queue) inTime(t *Ticket, place int) bool {
+	if q.running < q.seams.Limit() {
+		return q.isOpen(t)
+	}
+	return q.fits(t, place)
+}
+
 // Put queues a ticket; when full it drops the newest ticket of the lowest priority below the new one's.
 func (q *Queue) Put(t *Ticket) Outcome {
 	outcome, dropped := q.put(t)
@@ -181,11 +193,7 @@
 		return Closed, nil
 	}
 	place := q.place(t.priority)
-	ahead := place
-	if q.running < q.seams.Limit() {
-		ahead = 0
-	}
-	if !q.fits(t, ahead) {
+	if !q.inTime(t, place) {
 		return TooLate, nil
 	}
 	var dropped *Ticket
--- a/lib/queue/queue_test.go
+++ b/lib/queue/queue_test.go
@@ -127,3 +127,36 @@
 	close(release)
 	is.Equal(<-started, 3) // what waits still runs after the close
 }
+
+// TestRoomIsUsed has requests that are thought to run longer than they may take: they run where nobody else is kept out,
+// and are refused where others wait.
+func TestRoomIsUsed(t *testing.T) {
+	is := is.New(t)
+	const limit, needs = 2, 10 * time.Second
+	q := queue.New(clock.System{}, queue.Seams{
+		Capacity: func() int { return 100 },
+		Limit:    func() int { return limit },
+		Estimate: func() time.Duration { return needs },
+	}, 8)
+	started, release := make(chan struct{}, 100), make(chan struct{})
+	dropped := make(chan struct{}, 100)
+	put := func(deadline time.Duration) queue.Outcome {
+		run := func() {
+			started <- struct{}{}
+			<-release
+		}
+		drop := func() { dropped <- struct{}{} }
+		return q.Put(queue.NewTicket("class", 10, time.Now().Add(deadline), needs, run, drop))
+	}
+	for range limit {
+		is.Equal(put(time.Second), queue.Queued)
+		<-started
+	}
+	is.Equal(put(time.Second), queue.TooLate) // all slots are taken
+	is.Equal(put(time.Minute), queue.Queued)  // waits, and can still finish
+	is.Equal(put(-time.Second), queue.TooLate)
+	close(release)
+	<-started
+	is.Equal(len(dropped), 0)
+	q.Close()
+}
