Lost answers are asked for again: no queue of one, a budget over the rule's window, less for endpoints that lose

Lost answers may be asked for again but seldom were, for three reasons found one after the other: 1. 2589 of 3500 times 'no retries are left': a bucket of two tokens at a node cannot hold what its 900 requests a second earned before. 2. With that mended 2263 were sent again, and 240 arrived: a lost answer marks the request as one that may have crashed a backend server, and such requests run one at a time at a node. 3. Endpoints that lose answers kept their share: only failures in a row count, and two of three set aside is taken as evidence against none. Change: retry.Budget counts requests and retries over the window of the platform's bound (retry_window_s, read from the settings) in place of token buckets, with the same part of 0.4; an answer lost with a connection is 'connectionLost' and no suspicion where the backend server still accepts connections, or where it was a connection between nodes; the share of lost answers raises an endpoint's cost, beyond what the soundest one of its service loses. Three sent/not-sent-again lines say what decided. Tests: TestBurstOfLostAnswers, TestLostConnectionsAreNoCrashes (4 of 8 served before), TestFailingEndpointGetsLess (1520 of 3000 before). TestFleetStaysWithinItsBudget is replaced by a stricter one of its name: it holds every window of 10 s against the bound, not the sum over all time.

--- a/lib/front/text.go
+++ b/lib/front/text.go
@@ -57,6 +57,7 @@
 	verd.ReasonBackendShed:     "the backend server refused the request for its load",
 	verd.ReasonPeerUnreachable: "the endpoint's node cannot be reached",
 	verd.ReasonPeerVersion:     "the endpoint's node speaks another version",
+	verd.ReasonConnLost:        "a connection broke while the backend server had the request",
 	verd.ReasonAnswerLost:      "the connection failed before the whole answer came",
 	verd.ReasonSilent:          "the endpoint did not answer in time",
 	verd.ReasonLinkSilent:      "the connection to the endpoint fell silent",
--- a/lib/node/attempt.go
+++ b/lib/node/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"tamarackrudder.org/lib/call"
@@ -40,7 +41,7 @@
 		switch {
 		case v.HasRun():
 			if !n.settings.untraced {
-				n.buckets.Earn(e.request.Service())
+				n.retries.Earn(e.request.Service())
 			}
 			return a, ranBefore
 		case isRedirect(v):
@@ -77,12 +78,21 @@
 		return false // it may have crashed two backend servers
 	}
 	switch v.Reason() {
-	case verd.ReasonQueueFull, verd.ReasonBackendShed, verd.ReasonAnswerLost, verd.ReasonSilent,
-		verd.ReasonLinkSilent:
+	case verd.ReasonQueueFull, verd.ReasonBackendShed, verd.ReasonAnswerLost, verd.ReasonConnLost,
+		verd.ReasonSilent, verd.ReasonLinkSilent:
 	default:
 		return false
 	}
-	return e.ledger.Left() > 0 && n.buckets.Take(e.request.Service()) && e.ledger.Spend()
+	switch {
+	case e.ledger.Left() == 0:
+		n.decided("not sent again: its route allows no more", e.request, "service", e.request.Service(), "after", v.Reason())
+		return false
+	case !n.retries.Take(e.request.Service()):
+		n.decided("not sent again: no retries are left for its service", e.request, "service", e.request.Service(), "after", v.Reason())
+		return false
+	}
+	n.decided("sent again", e.request, "service", e.request.Service(), "after", v.Reason(), "tried", strings.Join(e.tried, ","))
+	return e.ledger.Spend()
 }
 
 // waitWithin waits unless the deadline would come first; the refusal at hand then reaches the caller in time.
@@ -130,7 +140,7 @@
 func outcomeOf(v verd.Verdict) picker.Outcome {
 	switch v.Reason() {
 	case verd.ReasonPeerUnreachable, verd.ReasonPeerVersion, verd.ReasonBackendDown, verd.ReasonAnswerLost,
-		verd.ReasonSilent:
+		verd.ReasonConnLost, verd.ReasonSilent:
 		return picker.Broken
 	}
 	switch {
--- a/lib/node/common.go
+++ b/lib/node/common.go
@@ -33,9 +33,11 @@
 	untraced  bool
 	// watching makes the node watch the platform itself, whoever else does.
 	watching bool
-	// retryShare is how many retries each request earns, and retrySpare how many all nodes together may save up.
-	retryShare float64
-	retrySpare float64
+	// Within retryWindow, retryShare is how many retries each request earns, and retrySpare how many all nodes together
+	// have without any.
+	retryShare  float64
+	retrySpare  float64
+	retryWindow time.Duration
 }
 
 // NewSettings returns the settings of the node that listens for peers at an address.
@@ -45,7 +47,7 @@
 		terms:      TermsOf(DefaultLease, DefaultSkew),
 		beatEvery:  DefaultBeat,
 		control:    ControlFull,
-		retryShare: DefaultRetryShare, retrySpare: DefaultRetrySpare,
+		retryShare: DefaultRetryShare, retrySpare: DefaultRetrySpare, retryWindow: DefaultRetryWindow,
 	}
 }
 
@@ -68,17 +70,18 @@
 // WithWatching returns the settings of a node that always watches the platform itself.
 func (s Settings) WithWatching() Settings { s.watching = true; return s }
 
-// WithRetries returns the settings with how many retries each request earns, and how many all nodes together
-// may save up.
-func (s Settings) WithRetries(share, spare float64) Settings {
-	s.retryShare, s.retrySpare = share, spare
+// WithRetries returns the settings with how many retries each request earns within a window of time, and how many all
+// nodes together have without any.
+func (s Settings) WithRetries(share, spare float64, window time.Duration) Settings {
+	s.retryShare, s.retrySpare, s.retryWindow = share, spare, window
 	return s
 }
 
 // The retries of a node unless its settings say otherwise.
 const (
-	DefaultRetryShare = 0.1
-	DefaultRetrySpare = 20.0
+	DefaultRetryShare  = 0.1
+	DefaultRetrySpare  = 20.0
+	DefaultRetryWindow = 10 * time.Second
 )
 
 // The times that a node keeps to unless its settings say otherwise.
--- a/lib/node/entry.go
+++ b/lib/node/entry.go
@@ -47,7 +47,7 @@
 	n.serving.enter()
 	defer n.serving.leave()
 	if n.settings.untraced {
-		n.buckets.Earn(e.request.Service()) // the platform's bound counts requests, not successes
+		n.retries.Earn(e.request.Service()) // the platform's bound counts requests, not successes
 	}
 	a := call.Truthful(e.request, n.attempts(ctx, e))
 	if a.Verdict().IsNotRun() && a.ComeBack() == 0 {
--- a/lib/node/exec.go
+++ b/lib/node/exec.go
@@ -271,9 +271,12 @@
 	if broken {
 		n.decided("connection to backend server broke", r, "route", route, "tookMs", whole.Milliseconds())
 	}
-	if broken && n.hasCrashed(ctx) {
+	switch {
+	case broken && n.hasCrashed(ctx):
 		n.crashes.Crashed(r.Fingerprint())
 		n.beatNow()
+	case broken:
+		a = call.Refusal(verd.MayHaveRun(verd.ReasonConnLost))
 	}
 	if ctx.Err() != nil && service.CancelPath() != "" {
 		go n.seams.Cancel(service.CancelPath(), open.Token())
--- a/lib/node/node.go
+++ b/lib/node/node.go
@@ -61,7 +61,7 @@
 	press   *press.Table
 	picker  *picker.Table
 	split   *split.Table
-	buckets *retry.Buckets
+	retries *retry.Budget
 	chain   *chain.Table
 	fanout  *fanout.Table
 	origin  *origin.Table
@@ -100,7 +100,7 @@
 		press:   press.NewTable(c, common.seams.Random),
 		picker:  picker.NewTable(c, common.seams.Random, s.zone),
 		split:   split.NewTable(c, common.seams.Random),
-		buckets: retry.NewBuckets(s.retryShare, s.retrySpare),
+		retries: retry.NewBudget(c, s.retryShare, s.retrySpare, s.retryWindow),
 		chain:   chain.NewTable(common.seams.NewID),
 		fanout:  fanout.NewTable(c),
 		origin:  origin.NewTable(),
@@ -186,7 +186,7 @@
 	n.hosts.Store(list)
 	n.origin.SetServices(list.Services())
 	if n.settings.untraced {
-		n.buckets.SetSize(n.settings.retrySpare / float64(max(1, len(list.Endpoints()))))
+		n.retries.SetSpare(n.settings.retrySpare / float64(max(1, len(list.Endpoints()))))
 	}
 	n.picker.Forget(list)
 	n.adopt(list)
--- a/lib/node/untraced_test.go
+++ b/lib/node/untraced_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -257,3 +259,30 @@
 	}
 	is.True(served)
 }
+
+// TestLostConnectionsAreNoCrashes has the first attempt of many requests at once lose its connection, while the backend
+// server still accepts new ones: their second attempts need not run one after the other.
+func TestLostConnectionsAreNoCrashes(t *testing.T) {
+	is := is.New(t)
+	const requests, runs, limit = 8, 100 * time.Millisecond, 400 * time.Millisecond
+	var seen sync.Map
+	n := readyUntraced(t, func(_ context.Context, r call.Request) (call.Answer, bool) {
+		if _, again := seen.LoadOrStore(r.ID(), true); !again {
+			return call.Refusal(verd.MayHaveRun(verd.ReasonAnswerLost)), true
+		}
+		time.Sleep(runs)
+		return call.NewAnswer(200, nil, nil), false
+	})
+	served := atomic.Int64{}
+	var all sync.WaitGroup
+	for i := range requests {
+		all.Go(func() {
+			r := call.NewRequest(fmt.Sprint(i), "GET", fmt.Sprint("/items/", i), "").WithTimeout(limit)
+			if n.Serve(t.Context(), r).Verdict().HasRun() {
+				served.Add(1)
+			}
+		})
+	}
+	all.Wait()
+	is.Equal(served.Load(), int64(requests))
+}
--- a/lib/picker/picker.go
+++ b/lib/picker/picker.go
@@ -1,7 +1,6 @@
 package picker
 
 import (
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -31,10 +30,16 @@
 	tieBreak  = 0.01
 	// slowScale is by how much longer an endpoint takes than the quickest for its cost to grow by all of its slots.
 	slowScale = 800 * time.Millisecond
-	// Refusals count by their share of the last answers, and are forgotten with a half-life.
+	// Refusals and failures count by their share of the last answers, and are forgotten with a half-life.
 	refusalWeight   = 0.1
 	refusalHalfLife = time.Second
-	leavingAge      = time.Second
+	failureWeight   = 0.05
+	failureHalfLife = 2 * time.Second
+	// failureCost is for an endpoint that leaves all without an answer, while another one of its service leaves none.
+	failureCost = 8.0
+	// usualFailures is by how much the shares of failures differ by chance.
+	usualFailures = 0.1
+	leavingAge    = time.Second
 	// An endpoint counts as silent after several times the smoothed latency of all answers.
 	shortestPatience = 500 * time.Millisecond
 	longestPatience  = 3 * time.Second
@@ -53,7 +58,7 @@
 	Refused
 	// Declined is any other refusal.
 	Declined
-	// Broken says that the endpoint or its backend server failed.
+	// Broken says that the endpoint or its backend server left a request without an answer.
 	Broken
 )
 
@@ -62,8 +67,8 @@
 	reported     int
 	reportedAt   time.Time
 	sentSince    int
-	refused      float64
-	refusedAt    time.Time
+	refused      fading
+	broken       fading
 	failures     int
 	ejections    int
 	ejectedUntil time.Time
@@ -111,11 +116,14 @@
 		return "", false
 	}
 	now, quickest := t.clock.Now(), t.quickest(usable)
+	soundest := t.soundest(usable, now)
 	step := (len(usable) + mostCompared - 1) / mostCompared
 	best, least := "", 0.0
 	for i := t.index(step); i < len(usable); i += step {
-		late := t.endpoint(usable[i].RPCAddr()).latency - quickest
-		cost := t.cost(usable[i], slots, now) + float64(max(0, late))/float64(slowScale)
+		known := t.endpoint(usable[i].RPCAddr())
+		late := float64(max(0, known.latency-quickest)) / float64(slowScale)
+		failing := failureCost * max(0, known.broken.now(now, failureHalfLife)-soundest-usualFailures)
+		cost := t.cost(usable[i], slots, now) + late + failing
 		if best == "" || cost < least {
 			best, least = usable[i].RPCAddr(), cost
 		}
@@ -135,6 +143,15 @@
 	return least
 }
 
+// soundest returns the least share of lost answers: what all endpoints of a service lose is not the fault of one.
+func (t *Table) soundest(usable []hosts.Endpoint, now time.Time) float64 {
+	least := 1.0
+	for _, member := range usable {
+		least = min(least, t.endpoint(member.RPCAddr()).broken.now(now, failureHalfLife))
+	}
+	return least
+}
+
 // cost is the share of an endpoint's slots that is taken, with surcharges for another zone and for refusals.
 func (t *Table) cost(member hosts.Endpoint, slots int, now time.Time) float64 {
 	if member.Slots() > 0 {
@@ -146,7 +163,7 @@
 	}
 	e := t.endpoint(member.RPCAddr())
 	taken := (t.load(member) + 1) / room
-	cost := taken + crowdCost*max(0, taken-crowded) + refusalCost*e.refusing(now) + tieBreak*t.random()
+	cost := taken + crowdCost*max(0, taken-crowded) + refusalCost*e.refused.now(now, refusalHalfLife) + tieBreak*t.random()
 	if member.Zone() != t.zone {
 		cost += zoneCost
 	}
@@ -197,24 +214,6 @@
 	return float64(max(e.inFlight, e.reported+e.sentSince))
 }
 
-// refusing returns the share of answers lately that were refusals.
-func (e *endpoint) refusing(now time.Time) float64 {
-	if e.refused == 0 {
-		return 0
-	}
-	return e.refused * math.Exp2(-float64(now.Sub(e.refusedAt))/float64(refusalHalfLife))
-}
-
-// refuse takes in whether an endpoint refused a request for its load.
-func (e *endpoint) refuse(refused bool, now time.Time) {
-	goal := 0.0
-	if refused {
-		goal = 1
-	}
-	known := e.refusing(now)
-	e.refused, e.refusedAt = known+refusalWeight*(goal-known), now
-}
-
 // Sent notes a request on its way to an endpoint.
 func (t *Table) Sent(addr string) {
 	t.mu.Lock()
@@ -259,6 +258,8 @@
 	e.inFlight--
 	now := t.clock.Now()
 	if outcome == Broken {
+		e.sentSince = max(0, e.sentSince-1)
+		e.broken.sample(1, failureWeight, failureHalfLife, now)
 		e.failures++
 		if e.failures >= failuresToEject && !now.Before(e.ejectedUntil) {
 			e.eject(now)
@@ -269,9 +270,10 @@
 	case Served:
 		t.latency += time.Duration(latencyWeight * float64(took-t.latency))
 		e.latency += time.Duration(latencyWeight * float64(took-e.latency))
-		e.refuse(false, now)
+		e.refused.sample(0, refusalWeight, refusalHalfLife, now)
+		e.broken.sample(0, failureWeight, failureHalfLife, now)
 	case Refused:
-		e.refuse(true, now)
+		e.refused.sample(1, refusalWeight, refusalHalfLife, now)
 	}
 	e.reported, e.sentSince, e.reportedAt, e.waitingSince = reported, 0, now, now
 	e.failures, e.lost = 0, false
--- a/lib/picker/picker_test.go
+++ b/lib/picker/picker_test.go
@@ -124,3 +124,44 @@
 	t.Logf("%d of 500 sent to the endpoint that refuses", sent)
 	is.True(sent < 100) // less than its share of the own zone, and not the most of all
 }
+
+// TestFailingEndpointGetsLess has one endpoint lose a part of its answers among others that it sends.
+func TestFailingEndpointGetsLess(t *testing.T) {
+	const requests = 3000
+	tests := []struct {
+		name  string
+		every int  // one answer in so many is lost
+		all   bool // at all endpoints, not at the first alone
+		least int
+		most  int
+	}{
+		{"loses one answer in three", 3, false, 10, requests / 6},
+		{"loses one answer in fifty", 50, false, requests / 3, requests},
+		{"all lose one in three", 3, true, requests / 4, requests},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			c := clock.NewManual(time.Unix(1_800_000_000, 0))
+			p, members := table(c)
+			c.Advance(time.Hour)
+			sent := map[string]int{}
+			for range requests {
+				c.Advance(5 * time.Millisecond)
+				addr, ok := p.Pick(members, nil, slots)
+				is.True(ok)
+				p.Sent(addr)
+				sent[addr]++
+				outcome := picker.Served
+				if (test.all || addr == members[0].RPCAddr()) && sent[addr]%test.every == 0 {
+					outcome = picker.Broken
+				}
+				p.Answered(addr, 20*time.Millisecond, 1, outcome)
+			}
+			got := sent[members[0].RPCAddr()]
+			t.Logf("%d of %d", got, requests)
+			is.True(got >= test.least) // it is tried again
+			is.True(got <= test.most)
+		})
+	}
+}
--- a/lib/relay/peers.go
+++ b/lib/relay/peers.go
@@ -175,7 +175,7 @@
 	case errors.Is(pending.Error, rpc.ErrShutdown), errors.Is(pending.Error, errUnsendable):
 		return call.Refusal(verd.NotRun(verd.ReasonPeerUnreachable))
 	}
-	return call.Refusal(verd.MayHaveRun(verd.ReasonAnswerLost))
+	return call.Refusal(verd.MayHaveRun(verd.ReasonConnLost))
 }
 
 // invoke sends one message and waits for its reply.
--- /dev/null
+++ b/lib/retry/budget_test.go
@@ -0,0 +1,121 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"tamarackrudder.org/lib/clock"
+	"tamarackrudder.org/lib/retry"
+)
+
+const window = 10 * time.Second
+
+// event is a request or a retry at a time.
+type event struct {
+	at    time.Duration
+	retry bool
+}
+
+// overBudget returns the retries and requests of a window in which there were more retries than agreed; the requests are
+// those of that window or of the one before, whichever had more.
+func overBudget(events []event, share, spare float64) (retries, requests int, over bool) {
+	for end := range events {
+		retries, within, before := 0, 0, 0
+		for _, e := range events[:end+1] {
+			switch age := events[end].at - e.at; {
+			case age >= 2*window:
+			case age >= window && !e.retry:
+				before++
+			case age < window && e.retry:
+				retries++
+			case age < window:
+				within++
+			}
+		}
+		requests := max(within, before)
+		if float64(retries) > share*float64(requests)+spare {
+			return retries, requests, true
+		}
+	}
+	return 0, 0, false
+}
+
+// TestFleetStaysWithinItsBudget lets many nodes send requests and retries in any order and at any time; over all of them
+// the retries of each window must stay below the agreed share of the requests plus the spare ones.
+func TestFleetStaysWithinItsBudget(t *testing.T) {
+	const share, spare, part = 0.2, 47.0, 0.4
+	rapid.Check(t, func(t *rapid.T) {
+		c := clock.NewManual(time.Unix(1_800_000_000, 0))
+		nodes := make([]*retry.Budget, rapid.IntRange(1, 40).Draw(t, "nodes"))
+		for i := range nodes {
+			nodes[i] = retry.NewBudget(c, share*part, spare*part, window)
+			nodes[i].SetSpare(spare * part / float64(len(nodes)))
+		}
+		pause := time.Duration(rapid.IntRange(0, 100).Draw(t, "pauseMs")) * time.Millisecond
+		var events []event
+		at := time.Duration(0)
+		for range rapid.IntRange(0, 1000).Draw(t, "steps") {
+			n := nodes[rapid.IntRange(0, len(nodes)-1).Draw(t, "node")]
+			c.Advance(pause)
+			at += pause
+			if rapid.Bool().Draw(t, "request") {
+				n.Earn("desk")
+				events = append(events, event{at: at})
+				continue
+			}
+			if n.Take("desk") {
+				events = append(events, event{at: at, retry: true})
+			}
+		}
+		if retries, requests, over := overBudget(events, share, spare); over {
+			t.Fatalf("%d retries for %d requests within %s", retries, requests, window)
+		}
+	})
+}
+
+// TestBurstOfLostAnswers has one request in five fail for four seconds at a node that was busy before: its retries are not
+// used up within the first second.
+func TestBurstOfLostAnswers(t *testing.T) {
+	is := is.New(t)
+	const perSecond, lostOf, lostFor = 900, 5, 4
+	c := clock.NewManual(time.Unix(1_800_000_000, 0))
+	b := retry.NewBudget(c, 0.2*0.4, 2, window)
+	lost, again := 0, 0
+	for second := range 10 + lostFor {
+		for i := range perSecond {
+			c.Advance(time.Second / perSecond)
+			b.Earn("desk")
+			if second < 10 || i%lostOf != 0 {
+				continue
+			}
+			lost++
+			if b.Take("desk") {
+				again++
+			}
+		}
+	}
+	t.Logf("%d of %d lost answers asked for again", again, lost)
+	is.True(again > lost*9/10)
+}
+
+func TestSpareRetries(t *testing.T) {
+	is := is.New(t)
+	c := clock.NewManual(time.Unix(1_800_000_000, 0))
+	b := retry.NewBudget(c, 0.1, 20, window)
+	b.SetSpare(2)
+	is.True(b.Take("desk"))
+	is.True(b.Take("desk"))
+	is.True(!b.Take("desk"))
+	is.True(b.Take("shop")) // a service does not use up another one's
+	c.Advance(window / 2)
+	is.True(!b.Take("desk"))
+	c.Advance(window)
+	is.True(b.Take("desk"))
+	b.SetSpare(0.1)
+	c.Advance(2 * window)
+	is.True(b.Take("desk")) // a part of one would never be one
+	is.True(!b.Take("desk"))
+}
--- a/lib/retry/doc.go
+++ b/lib/retry/doc.go
@@ -1,2 +1,3 @@
-// Package retry bounds retries: by an allowance that a request spends over its whole chain, and by a share of each route's successes.
+// Package retry bounds retries: by an allowance that a request spends over its whole chain, and by a budget of each
+// service over a sliding window of time.
 package retry
--- a/lib/verd/verd.go
+++ b/lib/verd/verd.go
@@ -51,6 +51,7 @@
 	ReasonPeerUnreachable Reason = "peerUnreachable"
 	ReasonPeerVersion     Reason = "peerVersion"
 	ReasonAnswerLost      Reason = "answerLost"
+	ReasonConnLost        Reason = "connectionLost"
 	ReasonSilent          Reason = "silent"
 	ReasonLinkSilent      Reason = "linkSilent"
 	ReasonAnswerTooLarge  Reason = "answerTooLarge"
--- a/tamarackd/wiring/platform.go
+++ b/tamarackd/wiring/platform.go
@@ -86,7 +86,7 @@
 	checks := node.NewChecks(clock.System{})
 	feed := platform.NewFeed(ctx, platform.NewStore(s.platformAddr), clock.System{}, logger, peerPort, checks.Pause)
 	nodeSettings := node.NewSettings(s.rpcAddr, s.service, s.zone).WithBeat(s.beat).WithControl(node.Control(s.control)).
-		WithUntraced().WithWatching().WithRetries(given.RetryShare()*retryPart, given.RetrySpare()*retryPart)
+		WithUntraced().WithWatching().WithRetries(given.RetryShare()*retryPart, given.RetrySpare()*retryPart, given.RetryWindow())
 	n := node.New(node.NewCommon(clock.System{}, logger, nodeSettings, node.Seams{
 		Exec: peers.Exec, Beat: peers.Beat, Fetch: peers.Fetch, Handover: peers.Handover, GiveBack: peers.GiveBack,
 		Run: backend.Run, Cancel: backend.Cancel, Probe: backend.Probe,
