Changes of the store are gathered, so that many nodes ask it less often

Each node's watch returns at each change of any entry: the calls grow with the square of the nodes. Ruled out: checks for missed changes (they are shared out, 4 a second in all).

--- a/lib/node/checks.go
+++ b/lib/node/checks.go
@@ -12,12 +12,15 @@
 	checksPerSecond = 4
 	quickestCheck   = 600 * time.Millisecond
 	slowestCheck    = 30 * time.Second
+	// gatherEach is how long changes are gathered for each endpoint there is, and mostGathered bounds it.
+	gatherEach   = 8 * time.Millisecond
+	mostGathered = 600 * time.Millisecond
 	// lonely is how long no peer has answered before a node relies on its own checks alone.
 	lonely = 1500 * time.Millisecond
 )
 
-// Checks says how often a node asks the platform whether its watch has missed changes: a change that one node finds
-// reaches the others by heartbeats, so the checks are shared out among all that hear each other.
+// Checks says how often a node asks the platform for changes, and whether its watch has missed some: a change that one
+// node finds reaches the others by heartbeats, so the checks are shared out among all that hear each other.
 type Checks struct {
 	clock clock.Clock
 	node  atomic.Pointer[Node]
@@ -45,3 +48,17 @@
 	shared := time.Duration(len(list.Endpoints())) * time.Second / checksPerSecond
 	return min(slowestCheck, max(quickestCheck, shared))
 }
+
+// Gather returns how long changes are gathered before the next ones are asked for: the changes of all endpoints reach every
+// node, so without it what the nodes ask grows with the square of their number.
+func (c *Checks) Gather() time.Duration {
+	n := c.node.Load()
+	if n == nil {
+		return 0
+	}
+	list := n.hosts.Load()
+	if list == nil {
+		return 0
+	}
+	return min(mostGathered, time.Duration(len(list.Endpoints()))*gatherEach)
+}
--- a/tamarackd/wiring/platform.go
+++ b/tamarackd/wiring/platform.go
@@ -84,7 +84,8 @@
 	backend := back.New(s.backendAddr, s.conns, platform.Dialect())
 	_, peerPort, _ := net.SplitHostPort(s.rpcAddr)
 	checks := node.NewChecks(clock.System{})
-	feed := platform.NewFeed(ctx, platform.NewStore(s.platformAddr), clock.System{}, logger, peerPort, checks.Pause)
+	feed := platform.NewFeed(ctx, platform.NewStore(s.platformAddr), clock.System{}, logger, peerPort,
+		platform.Pace{Check: checks.Pause, Gather: checks.Gather})
 	nodeSettings := node.NewSettings(s.rpcAddr, s.service, s.zone).WithBeat(s.beat).WithControl(node.Control(s.control)).
 		WithUntraced().WithWatching().WithRetries(given.RetryShare()*retryPart, given.RetrySpare()*retryPart, given.RetryWindow())
 	n := node.New(node.NewCommon(clock.System{}, logger, nodeSettings, node.Seams{
