--- a/tamarackd/wiring/wiring.go
+++ b/tamarackd/wiring/wiring.go
@@ -158,6 +158,7 @@
 func stop(n *node.Node, server *http.Server, s settings, logger log.Logger) {
 	ctx, cancel := context.WithTimeout(context.Background(), s.stopTimeout)
 	defer cancel()
+	_ = level.Info(logger).Log("msg", "stopping", "callersServedFor", s.drainDelay, "endsWithin", s.stopTimeout)
 	n.Stop(ctx)
 	time.Sleep(s.drainDelay)
 	if err := n.WaitExecuted(ctx); err != nil {
