--- a/lib/node/attempt.go
+++ b/lib/node/attempt.go
@@ -62,8 +62,8 @@
 // isRedirect reports whether a refusal came before any backend server was reached and another node may serve.
 func isRedirect(v verd.Verdict) bool {
 	switch v.Reason() {
-	case verd.ReasonLeaving, verd.ReasonNotOwner, verd.ReasonBackendReplaced, verd.ReasonNoLease, verd.ReasonNoRules, verd.ReasonPeerUnreachable,
-		verd.ReasonBackendDown:
+	case verd.ReasonLeaving, verd.ReasonNotOwner, verd.ReasonBackendReplaced, verd.ReasonNoLease, verd.ReasonNoRules,
+		verd.ReasonPeerUnreachable, verd.ReasonBackendDown:
 		return v.IsNotRun()
 	}
 	return false
--- a/lib/node/entry.go
+++ b/lib/node/entry.go
@@ -42,7 +42,8 @@
 	defer cancel()
 	if e.parent != nil {
 		e.parent.Enter(start)
-		defer context.AfterFunc(e.parent.Context(), cancel)()
+		stop := context.AfterFunc(e.parent.Context(), cancel)
+		defer stop()
 	}
 	n.serving.enter()
 	defer n.serving.leave()
--- a/lib/node/exec.go
+++ b/lib/node/exec.go
@@ -234,54 +234,79 @@
 	}
 }
 
+// runBackend sends a request to the own backend server and takes in what its end tells.
 func (n *Node) runBackend(ctx context.Context, r call.Request, service rules.Service, route string) call.Answer {
 	open := n.chain.Open(ctx, r)
 	defer n.chain.Close(open)
+	defer n.fanout.Ended(n.fanout.Started(route))
+	start, inFlight := n.clock.Now(), n.queue.Running()
+	a, broken := n.seams.Run(ctx, n.addressed(r), open.Token(), service.ShedStatus())
+	whole := n.clock.Now().Sub(start)
+	n.learn(run{request: r, route: route, start: start, whole: whole, own: whole - open.Waited(), inFlight: inFlight}, a)
+	if broken {
+		a = n.brokenOff(ctx, r, a, route, whole)
+	}
+	if ctx.Err() != nil && service.CancelPath() != "" {
+		go n.seams.Cancel(service.CancelPath(), open.Token())
+	}
+	return a.WithUnspent(open.Ledger().Left()).WithShed(open.Shed()).WithPressures(open.Pressures())
+}
+
+// addressed names the backend server that a request is meant for, and tells it to end a little before the deadline.
+func (n *Node) addressed(r call.Request) call.Request {
 	if own, ok := n.ownEndpoint(); ok {
 		r = r.WithInstance(own.Instance())
 	}
-	told := r
 	if n.settings.untraced && r.Deadline().Sub(n.clock.Now()) > 2*lastWord {
-		told = r.WithDeadline(r.Deadline().Add(-lastWord))
+		return r.WithDeadline(r.Deadline().Add(-lastWord))
 	}
-	defer n.fanout.Ended(n.fanout.Started(route))
-	start := n.clock.Now()
-	inFlight := n.queue.Running()
-	a, broken := n.seams.Run(ctx, told, open.Token(), service.ShedStatus())
-	whole := n.clock.Now().Sub(start)
+	return r
+}
+
+// run is one request that the own backend server was sent, and how long it took: as a whole, and without deeper calls.
+type run struct {
+	request  call.Request
+	route    string
+	start    time.Time
+	whole    time.Duration
+	own      time.Duration
+	inFlight int
+}
+
+// learn takes in how a run ended.
+func (n *Node) learn(r run, a call.Answer) {
 	v := a.Verdict()
 	if !v.IsNotRun() {
-		n.costs.sample(route, whole) // failures take slots too
+		n.costs.sample(r.route, r.whole) // failures take slots too
 	}
-	switch {
-	case v.HasRun():
-		n.crashes.Succeeded(r.Fingerprint())
-		if a.Status() >= failedStatus || whole > stuckSpans*r.Deadline().Sub(start) {
-			break // a failure, or a process that was stopped, says nothing about how long a request needs
-		}
-		if !n.settings.untraced {
-			n.limit.Sample(route, whole, whole-open.Waited(), inFlight)
-		}
-	case v.Reason() == verd.ReasonBackendShed && !n.settings.untraced:
-		n.limit.Shed()
+	if v.HasRun() {
+		n.crashes.Succeeded(r.request.Fingerprint())
 	}
 	if v.HasRun() && a.Status() >= failedStatus {
-		n.decided("backend server failed", r, "route", route, "status", a.Status(), "tookMs", whole.Milliseconds(), "inFlight", inFlight)
+		n.decided("backend server failed", r.request, "route", r.route, "status", a.Status(),
+			"tookMs", r.whole.Milliseconds(), "inFlight", r.inFlight)
+		return // a failure says nothing about how long a request needs
 	}
-	if broken {
-		n.decided("connection to backend server broke", r, "route", route, "tookMs", whole.Milliseconds())
+	if n.settings.untraced {
+		return
 	}
 	switch {
-	case broken && n.hasCrashed(ctx):
-		n.crashes.Crashed(r.Fingerprint())
-		n.beatNow()
-	case broken:
-		a = call.Refusal(verd.MayHaveRun(verd.ReasonConnLost))
-	}
-	if ctx.Err() != nil && service.CancelPath() != "" {
-		go n.seams.Cancel(service.CancelPath(), open.Token())
+	case v.Reason() == verd.ReasonBackendShed:
+		n.limit.Shed()
+	case v.HasRun() && r.whole <= stuckSpans*r.request.Deadline().Sub(r.start): // longer where a process was stopped
+		n.limit.Sample(r.route, r.whole, r.own, r.inFlight)
 	}
-	return a.WithUnspent(open.Ledger().Left()).WithShed(open.Shed()).WithPressures(open.Pressures())
+}
+
+// brokenOff tells a backend server that crashed from one that lost a connection.
+func (n *Node) brokenOff(ctx context.Context, r call.Request, a call.Answer, route string, whole time.Duration) call.Answer {
+	n.decided("connection to backend server broke", r, "route", route, "tookMs", whole.Milliseconds())
+	if !n.hasCrashed(ctx) {
+		return call.Refusal(verd.MayHaveRun(verd.ReasonConnLost))
+	}
+	n.crashes.Crashed(r.Fingerprint())
+	n.beatNow()
+	return a
 }
 
 // isListed reports whether the list in force names the own backend server.
--- a/lib/queue/queue.go
+++ b/lib/queue/queue.go
@@ -19,7 +19,8 @@
 	waiting  bool
 }
 
-// NewTicket returns a ticket that needs an estimated time to run; exactly one of run and drop is called, once, unless the ticket is withdrawn.
+// NewTicket returns a ticket that needs an estimated time to run; exactly one of run and drop is called, once, unless the
+// ticket is withdrawn.
 func NewTicket(class string, priority int, deadline time.Time, needs time.Duration, run, drop func()) *Ticket {
 	return &Ticket{class: class, priority: priority, deadline: deadline, needs: needs, run: run, drop: drop}
 }
--- a/lib/relay/codec.go
+++ b/lib/relay/codec.go
@@ -133,20 +133,28 @@
 
 type clientCodec struct{ *framed }
 
+// WriteRequest sends the head and body of a request.
 func (c clientCodec) WriteRequest(r *rpc.Request, body any) error { return c.write(r, body) }
 
+// ReadResponseHeader reads the head of the next answer.
 func (c clientCodec) ReadResponseHeader(r *rpc.Response) error { return c.readHeader(r) }
 
+// ReadResponseBody reads the body of the answer whose head was read.
 func (c clientCodec) ReadResponseBody(body any) error { return c.readBody(body) }
 
+// Close closes the connection.
 func (c clientCodec) Close() error { return c.conn.Close() }
 
 type serverCodec struct{ *framed }
 
+// ReadRequestHeader reads the head of the next request.
 func (c serverCodec) ReadRequestHeader(r *rpc.Request) error { return c.readHeader(r) }
 
+// ReadRequestBody reads the body of the request whose head was read.
 func (c serverCodec) ReadRequestBody(body any) error { return c.readBody(body) }
 
+// WriteResponse sends the head and body of an answer.
 func (c serverCodec) WriteResponse(r *rpc.Response, body any) error { return c.write(r, body) }
 
+// Close closes the connection.
 func (c serverCodec) Close() error { return c.conn.Close() }
--- a/lib/relay/server.go
+++ b/lib/relay/server.go
@@ -138,7 +138,7 @@
 }
 
 // Ping says that the connection works.
-func (n *Node) Ping(Empty, *Empty) error { return nil }
+func (*Node) Ping(Empty, *Empty) error { return nil }
 
 // Beat takes in a heartbeat.
 func (n *Node) Beat(args BeatWire, reply *BeatWire) error {
