Calls of a retry count as retries at the services that they go to

Ruled out: a smaller part of the bound for each service (a chain may be 15 deep); reading ids of attempts (opaque by agreement). Change: a request carries the likelihood that it, or what it was sent for, is a retry. A node smooths it over what its backend server runs, and each call that enters there takes that part out of its service's budget before any retry of its own, and carries it on. So at each depth own and inherited retries together stay within one share.

--- a/lib/call/request.go
+++ b/lib/call/request.go
@@ -40,6 +40,7 @@
 	allowance     int
 	parent        string
 	suspect       bool
+	again         float64
 	fresh         bool
 	host          string
 	caller        string
@@ -92,6 +93,9 @@
 // WithSuspect returns the request marked as one whose last attempt may have crashed a backend server.
 func (r Request) WithSuspect(suspect bool) Request { r.suspect = suspect; return r }
 
+// WithAgain returns the request with the likelihood, 0 to 1, that it or a request that it was sent for is a retry.
+func (r Request) WithAgain(again float64) Request { r.again = again; return r }
+
 // WithFresh returns the request with its caller's word that no earlier attempt with the same key may have run.
 func (r Request) WithFresh(fresh bool) Request { r.fresh = fresh; return r }
 
@@ -161,6 +165,9 @@
 // Suspect reports whether the last attempt may have crashed a backend server.
 func (r Request) Suspect() bool { return r.suspect }
 
+// Again returns the likelihood, 0 to 1, that this request or one that it was sent for is a retry.
+func (r Request) Again() float64 { return r.again }
+
 // Fresh reports whether its caller says that no earlier attempt with the same key may have run.
 func (r Request) Fresh() bool { return r.fresh }
 
--- a/lib/node/attempt.go
+++ b/lib/node/attempt.go
@@ -41,7 +41,7 @@
 		switch {
 		case v.HasRun():
 			if !n.settings.untraced {
-				n.retries.Earn(e.request.Service())
+				n.retries.Earn(e.request.Service(), 0)
 			}
 			return a, ranBefore
 		case isRedirect(v):
@@ -54,6 +54,9 @@
 			return a, ranBefore
 		default:
 			ranBefore = ranBefore || !v.IsNotRun()
+			if !v.IsNotRun() || v.Reason() == verd.ReasonBackendShed {
+				e.request = e.request.WithAgain(1) // it has come to a backend server
+			}
 			e.request = e.request.WithSuspect(e.request.Suspect() || v.Reason() == verd.ReasonAnswerLost)
 		}
 	}
--- a/lib/node/entry.go
+++ b/lib/node/entry.go
@@ -48,7 +48,7 @@
 	n.serving.enter()
 	defer n.serving.leave()
 	if n.settings.untraced {
-		n.retries.Earn(e.request.Service()) // the platform's bound counts requests, not successes
+		n.retries.Earn(e.request.Service(), e.request.Again()) // the platform's bound counts requests, not successes
 	}
 	a := call.Truthful(e.request, n.attempts(ctx, e))
 	if a.Verdict().IsNotRun() && a.ComeBack() == 0 {
@@ -148,7 +148,7 @@
 	name := e.route.Name()
 	if !n.origin.IsCallers(name) {
 		n.entered.deeper.Add(1)
-		e.request = e.request.WithDeeper(true)
+		e.request = e.request.WithDeeper(true).WithAgain(n.repeats.Share())
 		n.fanout.Called(name)
 		return nil
 	}
--- a/lib/node/exec.go
+++ b/lib/node/exec.go
@@ -239,6 +239,7 @@
 	open := n.chain.Open(ctx, r)
 	defer n.chain.Close(open)
 	defer n.fanout.Ended(n.fanout.Started(route))
+	n.repeats.Note(r.Again())
 	start, inFlight := n.clock.Now(), n.queue.Running()
 	a, broken := n.seams.Run(ctx, n.addressed(r), open.Token(), service.ShedStatus())
 	whole := n.clock.Now().Sub(start)
--- a/lib/node/node.go
+++ b/lib/node/node.go
@@ -62,6 +62,7 @@
 	picker  *picker.Table
 	split   *split.Table
 	retries *retry.Budget
+	repeats retry.Repeats
 	chain   *chain.Table
 	fanout  *fanout.Table
 	origin  *origin.Table
--- a/lib/relay/wire.go
+++ b/lib/relay/wire.go
@@ -40,6 +40,7 @@
 	Caller        string
 	Goal          time.Duration
 	Deeper        bool
+	Again         float64
 }
 
 // PressureWire is the encoding of a pressure.
@@ -203,7 +204,7 @@
 		ID: r.ID(), Method: r.Method(), Path: r.Path(), Query: r.Query(),
 		Fields: toFieldWires(r.Fields()), Body: r.Body(), Key: r.Key(), Tenant: r.Tenant(),
 		Service: r.Service(), Class: r.Class(), Priority: r.Priority(), NonIdempotent: r.NonIdempotent(),
-		Remaining: remaining, Allowance: r.Allowance(), Suspect: r.Suspect(),
+		Remaining: remaining, Allowance: r.Allowance(), Suspect: r.Suspect(), Again: r.Again(),
 		Host: r.Host(), Caller: r.Caller(), Goal: r.Goal(), Deeper: r.Deeper(),
 	}
 }
@@ -212,7 +213,7 @@
 	return call.NewRequest(w.ID, w.Method, w.Path, w.Query).
 		WithFields(fromFieldWires(w.Fields)).WithBody(w.Body).WithKey(w.Key).WithTenant(w.Tenant).
 		WithRoute(w.Service, w.NonIdempotent).WithClass(w.Class, w.Priority).
-		WithDeadline(now.Add(w.Remaining)).WithAllowance(w.Allowance).WithSuspect(w.Suspect).
+		WithDeadline(now.Add(w.Remaining)).WithAllowance(w.Allowance).WithSuspect(w.Suspect).WithAgain(w.Again).
 		WithHost(w.Host).WithCaller(w.Caller).WithGoal(w.Goal).WithDeeper(w.Deeper)
 }
 
--- a/lib/retry/budget.go
+++ b/lib/retry/budget.go
@@ -14,11 +14,11 @@
 type slot struct {
 	number   int64
 	requests int
-	retries  int
+	retries  float64
 }
 
 // Budget bounds the retries at each service over a sliding window of time: those of a window are at most a share of the
-// requests in it, and a few more.
+// requests in it, and a few more. The calls of a request that is a retry are retries as well, at the services called.
 type Budget struct {
 	clock    clock.Clock
 	share    float64
@@ -44,11 +44,13 @@
 	b.spare = spare
 }
 
-// Earn notes a request for a service.
-func (b *Budget) Earn(service string) {
+// Earn notes a request for a service, with the likelihood that it was sent for a retry.
+func (b *Budget) Earn(service string, again float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.now(service).requests++
+	now := b.now(service)
+	now.requests++
+	now.retries += again
 }
 
 // Take takes a retry at a service and reports whether there was one.
@@ -56,7 +58,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now(service)
-	requests, retries := 0, 0
+	requests, retries := 0, 0.0
 	for _, s := range b.services[service] {
 		if now.number-s.number <= slots {
 			requests += s.requests
@@ -64,7 +66,7 @@
 		}
 	}
 	// a spare retry that many nodes share would never be whole
-	if float64(retries+1) > max(1, b.spare)+b.share*float64(requests) {
+	if retries+1 > max(1, b.spare)+b.share*float64(requests) {
 		return false
 	}
 	now.retries++
--- a/lib/retry/budget_test.go
+++ b/lib/retry/budget_test.go
@@ -1,6 +1,7 @@
 package retry_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -62,7 +63,7 @@
 			c.Advance(pause)
 			at += pause
 			if rapid.Bool().Draw(t, "request") {
-				n.Earn("desk")
+				n.Earn("desk", 0)
 				events = append(events, event{at: at})
 				continue
 			}
@@ -87,7 +88,7 @@
 	for second := range 10 + lostFor {
 		for i := range perSecond {
 			c.Advance(time.Second / perSecond)
-			b.Earn("desk")
+			b.Earn("desk", 0)
 			if second < 10 || i%lostOf != 0 {
 				continue
 			}
@@ -119,3 +120,59 @@
 	is.True(b.Take("desk")) // a part of one would never be one
 	is.True(!b.Take("desk"))
 }
+
+// TestCallsOfRetriesCount has every service of a chain lose answers at once: at each of them the retries, with the calls
+// of those that are retries themselves, stay within the share.
+func TestCallsOfRetriesCount(t *testing.T) {
+	const levels, calls, perSecond, seconds, share, lost = 5, 2, 200, 30, 0.2, 0.4
+	type level struct {
+		requests, retries int
+		budget            *retry.Budget
+		repeats           retry.Repeats
+	}
+	is := is.New(t)
+	c := clock.NewManual(time.Unix(1_800_000_000, 0))
+	draw := rand.New(rand.NewPCG(3, 4))
+	chain := make([]*level, levels)
+	for i := range chain {
+		chain[i] = &level{budget: retry.NewBudget(c, share*0.4, 1, window)}
+	}
+	var send func(depth int, again bool)
+	run := func(depth int, again bool) {
+		at := chain[depth]
+		at.requests++
+		told := 0.0
+		if again {
+			at.retries++
+			told = 1
+		}
+		at.repeats.Note(told)
+		for range calls {
+			send(depth+1, again)
+		}
+	}
+	send = func(depth int, again bool) {
+		if depth == levels {
+			return
+		}
+		carried := 0.0
+		if depth > 0 {
+			carried = chain[depth-1].repeats.Share() // the caller does not know what its backend server calls for
+		}
+		chain[depth].budget.Earn("next", carried)
+		run(depth, again)
+		if draw.Float64() < lost && chain[depth].budget.Take("next") {
+			run(depth, true)
+		}
+	}
+	for range perSecond * seconds {
+		c.Advance(time.Second / perSecond)
+		send(0, false)
+	}
+	for i, at := range chain {
+		first := at.requests - at.retries
+		t.Logf("level %d: %d retries for %d requests", i, at.retries, first)
+		is.True(float64(at.retries) <= share*float64(first))
+		is.True(at.retries > first/50) // and some are sent
+	}
+}
