--- a/lib/node/attempt.go
+++ b/lib/node/attempt.go
@@ -54,14 +54,19 @@
 			return a, ranBefore
 		default:
 			ranBefore = ranBefore || !v.IsNotRun()
-			if !v.IsNotRun() || v.Reason() == verd.ReasonBackendShed {
-				e.request = e.request.WithAgain(1) // it has come to a backend server
-			}
-			e.request = e.request.WithSuspect(e.request.Suspect() || v.Reason() == verd.ReasonAnswerLost)
+			e.request = retried(e.request, v)
 		}
 	}
 }
 
+// retried returns a request as it is sent again after a verdict.
+func retried(r call.Request, v verd.Verdict) call.Request {
+	if !v.IsNotRun() || v.Reason() == verd.ReasonBackendShed {
+		r = r.WithAgain(1) // it has come to a backend server
+	}
+	return r.WithSuspect(r.Suspect() || v.Reason() == verd.ReasonAnswerLost)
+}
+
 // isRedirect reports whether a refusal came before any backend server was reached and another node may serve.
 func isRedirect(v verd.Verdict) bool {
 	switch v.Reason() {
