--- a/lib/relay/peers.go
+++ b/lib/relay/peers.go
@@ -115,15 +115,15 @@
 	pending := client.Go(serviceName+".Exec", toRequestWire(r, remaining), &reply, make(chan *rpc.Call, 1))
 	late := time.NewTimer(remaining + answerGrace)
 	defer late.Stop()
-	doubt := time.NewTicker(quiet)
-	defer doubt.Stop()
+	check := time.NewTicker(quiet)
+	defer check.Stop()
 	for waiting := true; waiting; {
 		select {
 		case <-pending.Done:
 			return p.ended(addr, client, pending, &reply)
 		case <-late.C:
 			return call.Refusal(verd.MayHaveRun(verd.ReasonSilent))
-		case <-doubt.C:
+		case <-check.C:
 			if heard.isSilent() && !r.NonIdempotent() {
 				return p.givenUp(ctx, addr)
 			}
