Read once more: one half-life, one set of seams, one loop of waiting

What is left of a value after an age stood in limit, picker and node's run times, each by its own formula: now clock.Fade. A node's seams to its peers and backend server were listed in both wirings: now newSeams. relay.Peers.Exec waited for the same answer in two selects: now one loop, whose tests of the connection end when the caller is gone, as before. A dial to a peer was bounded in DialTCP and again where it is called: now there alone. Ruled out: removing X-Server-Load, which nothing reads (a test asserts it).

--- a/lib/limit/estimate.go
+++ b/lib/limit/estimate.go
@@ -1,8 +1,9 @@
 package limit
 
 import (
-	"math"
 	"time"
+
+	"tamarackrudder.org/lib/clock"
 )
 
 // AllRoutes names the estimate over the requests of all routes.
@@ -32,6 +33,5 @@
 
 // now returns the estimate, faded by the time since its last sample.
 func (e *estimate) now(now time.Time) time.Duration {
-	kept := math.Exp2(-float64(now.Sub(e.sampled)) / float64(estimateLife))
-	return time.Duration(float64(e.mean+deviations*e.spread) * min(1, kept))
+	return time.Duration(float64(e.mean+deviations*e.spread) * clock.Fade(now.Sub(e.sampled), estimateLife))
 }
--- a/lib/node/needs.go
+++ b/lib/node/needs.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"math"
 	"sync"
 	"time"
 
@@ -77,8 +76,7 @@
 	if !known {
 		return 0
 	}
-	kept := math.Exp2(-float64(t.clock.Now().Sub(r.sampled)) / float64(estimateLife))
-	return time.Duration(float64(r.mean) * min(1, kept))
+	return time.Duration(float64(r.mean) * clock.Fade(t.clock.Now().Sub(r.sampled), estimateLife))
 }
 
 // due returns the mean of a route where it is time to tell it.
--- a/lib/picker/fading.go
+++ b/lib/picker/fading.go
@@ -1,8 +1,9 @@
 package picker
 
 import (
-	"math"
 	"time"
+
+	"tamarackrudder.org/lib/clock"
 )
 
 // fading is a smoothed share of the last answers that is forgotten while none come.
@@ -16,7 +17,7 @@
 	if f.share == 0 {
 		return 0
 	}
-	return f.share * math.Exp2(-float64(now.Sub(f.at))/float64(halfLife))
+	return f.share * clock.Fade(now.Sub(f.at), halfLife)
 }
 
 // sample moves the share towards a new answer's, 0 or 1.
--- a/lib/relay/peers.go
+++ b/lib/relay/peers.go
@@ -34,8 +34,6 @@
 
 // DialTCP opens a TCP connection.
 func DialTCP(ctx context.Context, addr string) (net.Conn, error) {
-	ctx, stop := context.WithTimeout(ctx, dialTimeout)
-	defer stop()
 	conn, err := conns.DialTCP(ctx, addr)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errUnreachable, err)
@@ -117,7 +115,8 @@
 	defer late.Stop()
 	check := time.NewTicker(quiet)
 	defer check.Stop()
-	for waiting := true; waiting; {
+	gone := ctx.Done()
+	for {
 		select {
 		case <-pending.Done:
 			return p.ended(addr, client, pending, &reply)
@@ -128,19 +127,14 @@
 				return p.givenUp(ctx, addr)
 			}
 			heard.test(client)
-		case <-ctx.Done():
-			waiting = false
+		case <-gone:
+			gone = nil // the peer's own word is waited for
+			check.Stop()
+			if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+				client.Go(serviceName+".Cancel", r.ID(), &Empty{}, make(chan *rpc.Call, 1))
+			}
 		}
 	}
-	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		client.Go(serviceName+".Cancel", r.ID(), &Empty{}, make(chan *rpc.Call, 1))
-	}
-	select {
-	case <-pending.Done:
-		return p.ended(addr, client, pending, &reply)
-	case <-late.C:
-		return call.Refusal(verd.MayHaveRun(verd.ReasonSilent))
-	}
 }
 
 // givenUp returns why a request that may run again is not waited for any longer: only its connection fell silent where
--- a/tamarackd/wiring/platform.go
+++ b/tamarackd/wiring/platform.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"os"
 	"os/signal"
@@ -19,7 +18,6 @@
 	"tamarackrudder.org/lib/clock"
 	"tamarackrudder.org/lib/front"
 	"tamarackrudder.org/lib/node"
-	"tamarackrudder.org/lib/plat"
 	"tamarackrudder.org/lib/relay"
 	"tamarackrudder.org/platform"
 )
@@ -88,12 +86,9 @@
 		platform.Pace{Check: checks.Pause, Gather: checks.Gather})
 	nodeSettings := node.NewSettings(s.rpcAddr, s.service, s.zone).WithBeat(s.beat).WithControl(node.Control(s.control)).
 		WithUntraced().WithWatching().WithRetries(given.RetryShare()*retryPart, given.RetrySpare()*retryPart, given.RetryWindow())
-	n := node.New(node.NewCommon(clock.System{}, logger, nodeSettings, node.Seams{
-		Exec: peers.Exec, Beat: peers.Beat, Fetch: peers.Fetch, Handover: peers.Handover, GiveBack: peers.GiveBack,
-		Run: backend.Run, Cancel: backend.Cancel, Probe: backend.Probe,
-		Watch: feed.Watch, DecodeRules: platform.DecodeConfig, DecodeList: plat.DecodeList,
-		NewID: uuid.NewString, Random: rand.Float64,
-	}))
+	seams := newSeams(peers, backend, feed.Watch)
+	seams.DecodeRules = platform.DecodeConfig
+	n := node.New(node.NewCommon(clock.System{}, logger, nodeSettings, seams))
 	checks.Follow(n)
 	return n
 }
--- a/tamarackd/wiring/wiring.go
+++ b/tamarackd/wiring/wiring.go
@@ -48,13 +48,7 @@
 	terms := node.TermsOf(s.lease, s.skew)
 	nodeSettings := node.NewSettings(s.rpcAddr, s.service, s.zone).
 		WithSeeds(s.peers).WithTerms(terms).WithBeat(s.beat).WithControl(node.Control(s.control))
-	seams := node.Seams{
-		Exec: peers.Exec, Beat: peers.Beat, Fetch: peers.Fetch, Handover: peers.Handover,
-		GiveBack: peers.GiveBack,
-		Run:      backend.Run, Cancel: backend.Cancel, Probe: backend.Probe,
-		Watch: watcher(platform), DecodeList: plat.DecodeList,
-		NewID: uuid.NewString, Random: rand.Float64,
-	}
+	seams := newSeams(peers, backend, watcher(platform))
 	if s.zoneDelay == 0 {
 		return node.New(node.NewCommon(clock.System{}, logger, nodeSettings, seams))
 	}
@@ -64,6 +58,16 @@
 	return delay.node
 }
 
+// newSeams returns a node's ways to its peers, to its backend server and to the published values.
+func newSeams(peers *relay.Peers, backend *back.Client, watch watchFunc) node.Seams {
+	return node.Seams{
+		Exec: peers.Exec, Beat: peers.Beat, Fetch: peers.Fetch, Handover: peers.Handover, GiveBack: peers.GiveBack,
+		Run: backend.Run, Cancel: backend.Cancel, Probe: backend.Probe,
+		Watch: watch, DecodeList: plat.DecodeList,
+		NewID: uuid.NewString, Random: rand.Float64,
+	}
+}
+
 type watchFunc = func(ctx context.Context, name string, after uint64, wait time.Duration) (uint64, []byte, error)
 
 func watcher(p *plat.Client) watchFunc {
