--- a/tamarackbench/fleet/fleet_test.go
+++ b/tamarackbench/fleet/fleet_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -18,9 +19,10 @@
 // shortLease holds node flags that make a lease expire within a second, so that a test can wait for it.
 var shortLease = []string{"--lease", "1s", "--heartbeat", "100ms", "--clock-skew", "50ms", "--drain-delay", "300ms"}
 
-func startSmall(t *testing.T) *fleet.Fleet {
+// startSmall starts the small deployment; the flags are added to the command line of each node.
+func startSmall(t *testing.T, flags ...string) *fleet.Fleet {
 	t.Helper()
-	options := fleet.NewOptions("full", os.Stderr, launch).WithNodeFlags(shortLease...)
+	options := fleet.NewOptions("full", os.Stderr, launch).WithNodeFlags(slices.Concat(shortLease, flags)...)
 	f, err := fleet.Start(t.Context(), fleet.Small(), options)
 	if err != nil {
 		t.Fatal(err)
