Refuse callers late in a stop, so that no request outlasts the process

Cause: a stopping node only closed each connection after its next answer. Until the last request of its own backend server had ended it admitted all that came, with the deadline of the route, which may lie after the stop timeout. Class: work admitted without regard to the time that the process has left. Change: after the time that callers have to leave (2.2 s on the platform) a node refuses them as not run, with a Retry-After. Calls of its own backend server go on, since they belong to work that has begun, but every request that enters during a stop gets a deadline before the stop timeout; the backend server that runs it obeys that deadline and answers itself. A request is counted as in flight before it is checked, so that none slips in between the refusal and the wait. Ruled out: closing the listener instead (the calls of the backend server enter there, and a caller that finds no listener is not told when to come back); refusing at once after SIGTERM (the platform needs two readiness checks to send callers elsewhere).

--- a/lib/node/demand.go
+++ b/lib/node/demand.go
@@ -145,8 +145,12 @@
 }
 
 // retryAfter returns the delay after which a refused caller should retry: within its latency objective, and random so
-// that callers do not return all at once.
+// that callers do not return all at once. While this node stops, it is the longest delay, since a caller that comes back to
+// it has to find its successor.
 func (n *Node) retryAfter(r call.Request) time.Duration {
+	if n.refusesCallers.Load() {
+		return maxRetryAfter
+	}
 	objective := r.LatencyObjective()
 	if objective == 0 {
 		objective = defaultObjective
--- a/lib/node/entry.go
+++ b/lib/node/entry.go
@@ -35,6 +35,8 @@
 // Serve handles a request that a caller or the local backend server sent to this node, and returns its final answer.
 func (n *Node) Serve(ctx context.Context, r call.Request) call.Answer {
 	start := n.clock.Now()
+	n.serving.enter()
+	defer n.serving.leave()
 	e, v := n.admit(r)
 	if v != nil {
 		return n.refuse(e, *v, start)
@@ -46,8 +48,6 @@
 		stop := context.AfterFunc(e.parent.Context(), cancel)
 		defer stop()
 	}
-	n.serving.enter()
-	defer n.serving.leave()
 	if n.settings.untraced {
 		// The platform's retry budget counts all requests, not only successful ones.
 		n.retries.RecordRequest(e.request.Service(), e.request.RetryFraction())
@@ -81,6 +81,9 @@
 		return e, notRun(verd.ReasonUnknownRoute)
 	}
 	e.route = route
+	if v := n.checkStopping(e); v != nil {
+		return e, v
+	}
 	class, _ := set.Class(route.Class())
 	name, fits := n.split.Choose(route)
 	e.countedInSplit = fits
@@ -109,7 +112,7 @@
 	if requested := e.request.Timeout(); requested > 0 {
 		timeout = min(timeout, requested)
 	}
-	e.request = e.request.WithDeadline(now.Add(timeout))
+	e.request = e.request.WithDeadline(n.boundByStop(now.Add(timeout)))
 	if e.request.ParentToken() != "" {
 		return n.inheritLimits(e)
 	}
@@ -154,7 +157,7 @@
 // the route. It admits all requests of internal routes, so that work that a backend server has begun is finished.
 func (n *Node) admitUntraced(e *entry) *verd.Verdict {
 	name := e.route.Name()
-	if !n.origin.IsEntryRoute(name) {
+	if n.isDownstreamCall(e) {
 		n.entryCounts.downstream.Add(1)
 		e.request = e.request.WithDownstream(true).WithRetryFraction(n.retryFraction.Value())
 		n.fanout.Called(name)
--- a/lib/node/leave.go
+++ b/lib/node/leave.go
@@ -17,9 +17,6 @@
 	pollInterval = 20 * time.Millisecond
 	// queueFlushDelay is how long requests that were queued before a drain may still wait for this endpoint.
 	queueFlushDelay = time.Second
-	// peerNoticeTime is how long a stopping node goes on answering, so that peers learn of the stop by heartbeat; until
-	// they have, each request that they send is refused.
-	peerNoticeTime = 300 * time.Millisecond
 	// probeInterval and probeFailuresToDrain bound how long the keys of a dead backend server go unserved.
 	probeInterval        = 100 * time.Millisecond
 	probeFailuresToDrain = 3
@@ -58,21 +55,6 @@
 	}
 }
 
-// Stop drains for good and gives callers the time callersLeave to send their requests elsewhere. A node with leases hands
-// its keys over before that time; without leases it drains afterwards, so that its backend server goes on working
-// meanwhile.
-func (n *Node) Stop(ctx context.Context, callersLeave time.Duration) {
-	n.stopping.Store(true)
-	if n.Leased() {
-		n.Drain(ctx)
-		n.wait(ctx, callersLeave)
-		return
-	}
-	n.wait(ctx, callersLeave)
-	n.Drain(ctx)
-	n.wait(ctx, peerNoticeTime)
-}
-
 // applyListedLeaving drains this endpoint while the platform's list marks it as leaving, and undrains it when the mark
 // is gone. It first waits for ownership under that list to become active, since until then no peer could take over the
 // keys without a gap.
@@ -243,22 +225,3 @@
 		}
 	}
 }
-
-// WaitExecuted waits until the local backend server has no request in flight; until then it may still make downstream
-// calls. The error says how many requests were left when the context ended.
-func (n *Node) WaitExecuted(ctx context.Context) error { return n.executing.wait(ctx) }
-
-// WaitIdle waits until no request is in flight, and, after a release of keys, hands over the answers that were stored
-// since. The error says how many requests were left when the context ended.
-func (n *Node) WaitIdle(ctx context.Context) error {
-	if err := n.executing.wait(ctx); err != nil {
-		return err
-	}
-	if err := n.serving.wait(ctx); err != nil {
-		return err
-	}
-	if n.Leased() && n.group.ReleaseAcknowledged() {
-		n.handOver(ctx)
-	}
-	return nil
-}
--- a/lib/node/node.go
+++ b/lib/node/node.go
@@ -55,6 +55,9 @@
 	stopping      atomic.Bool
 	listedLeaving atomic.Bool
 
+	refusesCallers atomic.Bool
+	lastDeadline   atomic.Pointer[time.Time] // of the requests that enter while the node stops
+
 	queue         *queue.Queue
 	limit         *limit.Limit
 	claims        *claims.Table
--- /dev/null
+++ b/lib/node/stop_test.go
@@ -0,0 +1,53 @@
+package node_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tamarackrudder.org/lib/call"
+	"tamarackrudder.org/lib/node"
+	"tamarackrudder.org/lib/verd"
+)
+
+// newStopped returns an untraced node after Stop, whose context ends at the returned time. Requests run at a peer, which
+// reports GET /items as a route of callers.
+func newStopped(t *testing.T, peer execFunc) (*node.Node, time.Time) {
+	t.Helper()
+	const stopTimeout, callersLeave = 2 * time.Second, 50 * time.Millisecond
+	values := map[string]string{node.NameRules: untracedRules, node.NameHosts: "desk 10.0.0.2:1 z0"}
+	n := newUntracedWithPeers(t, values, nil, func(ctx context.Context, addr string, r call.Request) call.Answer {
+		return peer(ctx, addr, r).WithEntryRoute(r.Method() == "GET")
+	})
+	awaitReady(t, n)
+	n.Serve(t.Context(), call.NewRequest("0", "GET", "/items/1", ""))
+	ctx, cancel := context.WithTimeout(t.Context(), stopTimeout)
+	t.Cleanup(cancel)
+	end, _ := ctx.Deadline()
+	n.Stop(ctx, callersLeave)
+	return n, end
+}
+
+// TestStoppedNodeRefusesLateCallers guards against late requests that a stopping node takes and then drops.
+func TestStoppedNodeRefusesLateCallers(t *testing.T) {
+	is := is.New(t)
+	n, _ := newStopped(t, func(context.Context, string, call.Request) call.Answer { return call.NewAnswer(200, nil, nil) })
+	a := n.Serve(t.Context(), call.NewRequest("1", "GET", "/items/1", ""))
+	is.Equal(a.Verdict(), verd.NotRun(verd.ReasonLeaving))
+	is.True(a.RetryAfter() > 0)
+}
+
+// TestDownstreamCallsEndBeforeTheStopTimeout guards against late calls of the backend server that outlast the process.
+func TestDownstreamCallsEndBeforeTheStopTimeout(t *testing.T) {
+	is := is.New(t)
+	var deadline time.Time
+	n, end := newStopped(t, func(_ context.Context, _ string, r call.Request) call.Answer {
+		deadline = r.Deadline()
+		return call.NewAnswer(200, nil, nil)
+	})
+	a := n.Serve(t.Context(), call.NewRequest("1", "POST", "/orders", "").WithTimeout(time.Minute))
+	is.True(a.Verdict().HasRun())
+	is.True(deadline.Before(end))
+}
