Answer the requests that are left at the stop timeout

Cause: at the stop timeout the process ended with its requests in flight; nothing gave them a last answer. Class: a wait with a bound, after which nobody acts on what was waited for. Change: Node.Finish waits for the requests in flight until 150 ms before the stop timeout, cancels what is left, and passes on the last answers: may-have-run where a backend server may have begun, not-run where it cannot have. The listener stays open until then, so that callers who come late get a refusal with a Retry-After and no closed port. Ruled out: ending earlier (a backend server may still answer; on the platform the end stays 0.5 s before the grace is over).

--- a/lib/node/entry.go
+++ b/lib/node/entry.go
@@ -41,8 +41,10 @@
 	if v != nil {
 		return n.refuse(e, *v, start)
 	}
+	caller := ctx
 	ctx, cancel := context.WithDeadline(ctx, e.request.Deadline())
 	defer cancel()
+	defer context.AfterFunc(n.givenUp, cancel)()
 	if e.parent != nil {
 		e.parent.BeginCall(start)
 		stop := context.AfterFunc(e.parent.Context(), cancel)
@@ -52,7 +54,7 @@
 		// The platform's retry budget counts all requests, not only successful ones.
 		n.retries.RecordRequest(e.request.Service(), e.request.RetryFraction())
 	}
-	a := call.AcrossAttempts(e.request, n.sendWithRetries(ctx, e))
+	a := call.AcrossAttempts(e.request, n.withGiveUp(caller, n.sendWithRetries(ctx, e)))
 	if a.Verdict().IsNotRun() && a.RetryAfter() == 0 {
 		a = a.WithRetryAfter(n.retryAfter(e.request))
 	}
--- a/lib/node/stop.go
+++ b/lib/node/stop.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
+	"tamarackrudder.org/lib/call"
 	"tamarackrudder.org/lib/verd"
 )
 
@@ -13,6 +15,8 @@
 	peerNoticeTime = 300 * time.Millisecond
 	// lastAnswerTime is the time before the stop timeout that is left for passing on the answers to the last requests.
 	lastAnswerTime = 300 * time.Millisecond
+	// giveUpTime is the time before the stop timeout at which a stopping node gives up the requests that are left.
+	giveUpTime = 150 * time.Millisecond
 )
 
 // Stop drains for good and gives callers the time callersLeave to send their requests elsewhere; then it refuses them, and
@@ -61,21 +65,46 @@
 	return deadline
 }
 
-// WaitExecuted waits until the local backend server has no request in flight; until then it may still make downstream
-// calls. The error says how many requests were left when the context ended.
-func (n *Node) WaitExecuted(ctx context.Context) error { return n.executing.wait(ctx) }
+// Finish waits until no request is in flight. What is left shortly before the context ends is given up, so that its caller
+// still gets an answer; the error says how many requests these were. After a release of keys it hands over the answers that
+// were stored since.
+func (n *Node) Finish(ctx context.Context) error {
+	err := n.waitIdle(ctx)
+	if err != nil {
+		n.giveUp()
+		if unanswered := n.serving.wait(ctx); unanswered != nil {
+			err = fmt.Errorf("not answered: %w", unanswered)
+		}
+	}
+	if n.Leased() && n.group.ReleaseAcknowledged() {
+		n.handOver(ctx)
+	}
+	return err
+}
 
-// WaitIdle waits until no request is in flight, and, after a release of keys, hands over the answers that were stored
-// since. The error says how many requests were left when the context ended.
-func (n *Node) WaitIdle(ctx context.Context) error {
+// waitIdle waits until no request is in flight, at the latest until giveUpTime before the context ends. The error says how
+// many requests were left.
+func (n *Node) waitIdle(ctx context.Context) error {
+	if end, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, end.Add(-giveUpTime))
+		defer cancel()
+	}
 	if err := n.executing.wait(ctx); err != nil {
 		return err
 	}
-	if err := n.serving.wait(ctx); err != nil {
-		return err
+	return n.serving.wait(ctx)
+}
+
+// withGiveUp returns the verdict of a request that ended because the node gave it up at the end of a stop: the kind stays,
+// and the reason is the stop.
+func (n *Node) withGiveUp(caller context.Context, a call.Answer) call.Answer {
+	v := a.Verdict()
+	if n.givenUp.Err() == nil || caller.Err() != nil || v.Reason() != verd.ReasonCanceled {
+		return a
 	}
-	if n.Leased() && n.group.ReleaseAcknowledged() {
-		n.handOver(ctx)
+	if v.IsNotRun() {
+		return call.Refusal(verd.NotRun(verd.ReasonLeaving))
 	}
-	return nil
+	return call.Refusal(verd.MayHaveRun(verd.ReasonLeaving))
 }
--- a/tamarackd/wiring/wiring.go
+++ b/tamarackd/wiring/wiring.go
@@ -160,20 +160,17 @@
 }
 
 // stop ends the node without aborting requests: the node drains, callers get time to move to other nodes, and requests in
-// flight are awaited. The callers' listener closes only after the last request at the backend server has ended, since
-// downstream calls of that request arrive there.
+// flight are awaited. The callers' listener closes only after the last request has ended: downstream calls of the backend
+// server arrive there, and callers learn there when to come back.
 func stop(n *node.Node, server *http.Server, s settings, logger log.Logger) {
 	ctx, cancel := context.WithTimeout(context.Background(), s.stopTimeout)
 	defer cancel()
 	_ = level.Info(logger).Log("msg", "stopping", "callersServedFor", s.drainDelay, "endsWithin", s.stopTimeout)
 	n.Stop(ctx, s.drainDelay)
-	if err := n.WaitExecuted(ctx); err != nil {
-		_ = level.Error(logger).Log("msg", "the backend server did not finish its requests before the stop timeout", "err", err)
+	if err := n.Finish(ctx); err != nil {
+		_ = level.Error(logger).Log("msg", "requests in flight were given up at the stop timeout", "err", err)
 	}
 	if err := server.Shutdown(ctx); err != nil {
 		_ = level.Error(logger).Log("msg", "callers were still connected at the stop timeout", "err", err)
 	}
-	if err := n.WaitIdle(ctx); err != nil {
-		_ = level.Error(logger).Log("msg", "stopped with requests in flight", "err", err)
-	}
 }
