Keep handling signals until the process ends

Callers saw: a node that got a second stop signal while it was stopping, or a hang-up, ended at once with all its requests. Cause: the handler that ends the group takes one signal and then restores the default action, which ends the process; SIGHUP had no handler at all on the own interface, and on the platform none from the end of the stop on, nor before the settings were read. Class: signals left to their default action. Evidence: TestRepeatedStopSignalCutsNothing failed before with SIGTERM, SIGINT and SIGHUP ('unexpected EOF', no line in the log). Change: signals are registered first of all and stay so. A further stop signal is logged and ignored. SIGHUP reads the settings file again on the platform, as before; on the own interface it is logged, since settings come from the command line. Ruled out: a shorter stop at the second signal (it would cut what the first one promised to finish; SIGKILL remains).

--- a/lib/node/entry.go
+++ b/lib/node/entry.go
@@ -44,7 +44,8 @@
 	caller := ctx
 	ctx, cancel := context.WithDeadline(ctx, e.request.Deadline())
 	defer cancel()
-	defer context.AfterFunc(n.givenUp, cancel)()
+	detach := context.AfterFunc(n.givenUp, cancel)
+	defer detach()
 	if e.parent != nil {
 		e.parent.BeginCall(start)
 		stop := context.AfterFunc(e.parent.Context(), cancel)
--- a/tamarackd/wiring/platform.go
+++ b/tamarackd/wiring/platform.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"net"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/go-kit/log"
@@ -41,11 +39,12 @@
 		Usage: "run on the users' platform, with the settings file that it provides",
 		Flags: []cli.Flag{stringFlag(flagLevel, "debug, info, warn or error", "info")},
 		Action: func(ctx context.Context, c *cli.Command) error {
+			received := catchSignals()
 			platformSettings, err := platform.ReadSettings()
 			if err != nil {
 				return fmt.Errorf("%w: %w", ErrSettings, err)
 			}
-			return servePlatform(ctx, platformSettings, c.String(flagLevel))
+			return servePlatform(ctx, received, platformSettings, c.String(flagLevel))
 		},
 	}
 }
@@ -62,7 +61,7 @@
 	}
 }
 
-func servePlatform(ctx context.Context, platformSettings platform.Settings, logLevel string) error {
+func servePlatform(ctx context.Context, received signals, platformSettings platform.Settings, logLevel string) error {
 	s := settingsFromPlatform(platformSettings, logLevel)
 	if err := s.check(); err != nil {
 		return err
@@ -76,7 +75,8 @@
 	if err != nil {
 		return err
 	}
-	return serveAll(ctx, s, n, callers, logger, ready, reloadActor(platformSettings, logger))
+	reload := received.reloadActor(func() { logSettingsChange(platformSettings, logger) })
+	return serveAll(ctx, s, n, callers, logger, received.stopActor(ctx, logger), reload, ready)
 }
 
 func newPlatformNode(ctx context.Context, platformSettings platform.Settings, s settings, logger log.Logger) *node.Node {
@@ -110,27 +110,6 @@
 	}, nil
 }
 
-// reloadActor reads the platform's settings file again on each SIGHUP.
-func reloadActor(platformSettings platform.Settings, logger log.Logger) actor {
-	changed := make(chan os.Signal, 1)
-	signal.Notify(changed, syscall.SIGHUP)
-	ended := make(chan struct{})
-	run := func() error {
-		for {
-			select {
-			case <-ended:
-				return nil
-			case <-changed:
-				logSettingsChange(platformSettings, logger)
-			}
-		}
-	}
-	return actor{run: run, interrupt: func(error) {
-		signal.Stop(changed)
-		close(ended)
-	}}
-}
-
 // logSettingsChange reads the settings file again and logs whether it differs from the settings in use, or its faults. A
 // running node keeps its settings, such as the addresses of its listeners.
 func logSettingsChange(platformSettings platform.Settings, logger log.Logger) {
--- a/tamarackd/wiring/settings.go
+++ b/tamarackd/wiring/settings.go
@@ -79,11 +79,12 @@
 		Flags:    flags(),
 		Commands: []*cli.Command{platformCommand()},
 		Action: func(ctx context.Context, c *cli.Command) error {
+			received := catchSignals()
 			s := readFlags(c)
 			if err := s.check(); err != nil {
 				return err
 			}
-			return serveNode(ctx, s)
+			return serveNode(ctx, received, s)
 		},
 		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
 			return fmt.Errorf("%w: %w", ErrSettings, err)
--- /dev/null
+++ b/tamarackd/wiring/signals.go
@@ -0,0 +1,66 @@
+package wiring
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/oklog/run"
+)
+
+// signals receives the signals that a node handles. They stay registered until the process ends: a repeated signal would
+// otherwise have its default action, which ends the process at once.
+type signals struct {
+	stop   chan os.Signal
+	reload chan os.Signal
+}
+
+func catchSignals() signals {
+	s := signals{stop: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
+	signal.Notify(s.stop, os.Interrupt, syscall.SIGTERM)
+	signal.Notify(s.reload, syscall.SIGHUP)
+	return s
+}
+
+// stopActor ends the group at the first stop signal, with an error that wraps run.ErrSignal, or with the context. Further
+// stop signals are logged.
+func (s signals) stopActor(ctx context.Context, logger log.Logger) actor {
+	ended := make(chan struct{})
+	execute := func() error {
+		select {
+		case <-ended:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		case received := <-s.stop:
+			go s.logRepeated(logger)
+			return run.SignalError{Signal: received}
+		}
+	}
+	return actor{run: execute, interrupt: func(error) { close(ended) }}
+}
+
+func (s signals) logRepeated(logger log.Logger) {
+	for repeated := range s.stop {
+		_ = level.Info(logger).Log("msg", "signal ignored, the node is already stopping", "signal", repeated)
+	}
+}
+
+// reloadActor calls reload on each reload signal, until the process ends.
+func (s signals) reloadActor(reload func()) actor {
+	ended := make(chan struct{})
+	execute := func() error {
+		for {
+			select {
+			case <-ended:
+				return nil
+			case <-s.reload:
+				reload()
+			}
+		}
+	}
+	return actor{run: execute, interrupt: func(error) { close(ended) }}
+}
--- a/tamarackd/wiring/wiring.go
+++ b/tamarackd/wiring/wiring.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"os"
-	"syscall"
 	"time"
 
 	"github.com/go-kit/log"
@@ -82,12 +81,15 @@
 }
 
 // serveNode runs a node with the settings of the command line until a signal or a failed listener ends it.
-func serveNode(ctx context.Context, s settings) error {
+func serveNode(ctx context.Context, received signals, s settings) error {
 	TuneMemory()
 	logger := newLogger(s, os.Stderr)
 	n := newNode(s, logger)
 	callers := front.New(front.Seams{Serve: n.Serve, NewID: uuid.NewString, Leaving: n.Leaving})
-	return serveAll(ctx, s, n, callers, logger)
+	reload := received.reloadActor(func() {
+		_ = level.Info(logger).Log("msg", "signal ignored, settings of the command line change at the next start")
+	})
+	return serveAll(ctx, s, n, callers, logger, received.stopActor(ctx, logger), reload)
 }
 
 // serveAll runs a node's listeners and the given actors in one group. The first of them that fails, or a signal, ends all.
@@ -106,7 +108,6 @@
 		Reclaim: n.HandleReclaim,
 	})
 	var group run.Group
-	group.Add(run.SignalHandler(ctx, os.Interrupt, syscall.SIGTERM))
 	group.Add(func() error { return serve(server, listeners.http) }, func(error) { stop(n, server, s, logger) })
 	group.Add(peers.Serve, func(error) { peers.Close() })
 	group.Add(func() error { return serve(ops, listeners.ops) }, func(error) { _ = ops.Close() })
