Admit nothing once a stopping node closes its idle connections

Callers would see: a request on a kept connection is passed on to an endpoint and its connection is closed without an answer. Cause (read in net/http, not seen in a log): Shutdown closes connections that count as idle, and a connection counts as idle until the head of its next request has been parsed; the handler of such a request then runs on a closed connection. Routes that are not yet known as callers' were still admitted at that moment. Class: two owners of one decision; the server decided that a connection is idle, the node that a request is admitted. Evidence: TestFinishedNodeAdmitsNothing failed before ('ran != not-run: leaving'). Change: after the last request of its own backend server a node refuses all that enters, before the server shuts down. A request that crosses the close has then reached no backend server. Ruled out: tracking the state of each connection ourselves; the refusal is enough and needs no lock.

--- a/lib/node/node.go
+++ b/lib/node/node.go
@@ -56,6 +56,7 @@
 	listedLeaving atomic.Bool
 
 	refusesCallers atomic.Bool
+	refusesAll     atomic.Bool
 	lastDeadline   atomic.Pointer[time.Time] // of the requests that enter while the node stops
 	givenUp        context.Context           // ends when a stopping node gives up the requests that are left
 	giveUp         context.CancelFunc
--- a/lib/node/stop.go
+++ b/lib/node/stop.go
@@ -41,9 +41,10 @@
 	n.wait(ctx, peerNoticeTime)
 }
 
-// checkStopping refuses a request that comes from a caller after the time that a stop gives callers to leave.
+// checkStopping refuses a request that comes from a caller after the time that a stop gives callers to leave, and any
+// request after the last one of the local backend server has ended.
 func (n *Node) checkStopping(e *entry) *verd.Verdict {
-	if n.refusesCallers.Load() && !n.isDownstreamCall(e) {
+	if n.refusesAll.Load() || (n.refusesCallers.Load() && !n.isDownstreamCall(e)) {
 		return notRun(verd.ReasonLeaving)
 	}
 	return nil
@@ -71,6 +72,7 @@
 func (n *Node) Finish(ctx context.Context) error {
 	err := n.waitIdle(ctx)
 	if err != nil {
+		n.refusesAll.Store(true)
 		n.giveUp()
 		if unanswered := n.serving.wait(ctx); unanswered != nil {
 			err = fmt.Errorf("not answered: %w", unanswered)
@@ -93,6 +95,7 @@
 	if err := n.executing.wait(ctx); err != nil {
 		return err
 	}
+	n.refusesAll.Store(true)
 	return n.serving.wait(ctx)
 }
 
--- a/lib/node/stop_test.go
+++ b/lib/node/stop_test.go
@@ -51,3 +51,12 @@
 	is.True(a.Verdict().HasRun())
 	is.True(deadline.Before(end))
 }
+
+// TestFinishedNodeAdmitsNothing guards against a request that is passed on while the server closes its connection as idle.
+func TestFinishedNodeAdmitsNothing(t *testing.T) {
+	is := is.New(t)
+	n, _ := newStopped(t, func(context.Context, string, call.Request) call.Answer { return call.NewAnswer(200, nil, nil) })
+	is.NoErr(n.Finish(t.Context()))
+	a := n.Serve(t.Context(), call.NewRequest("1", "POST", "/orders", ""))
+	is.Equal(a.Verdict(), verd.NotRun(verd.ReasonLeaving))
+}
