Cancel the requests of a peer when its connection is lost

Cause: the context of a connection's requests was canceled after net/rpc had stopped serving the connection, and it does so only once all calls that run have returned. They returned at their deadlines. Class: a cancellation that waits for what it should end. Evidence: TestLostConnectionCancelsItsRequests failed before ('the request was not canceled', 5 s). Change: the codec cancels the context as soon as no further request can be read from the connection. Ruled out: keyed requests are not affected, they go on by design so that their answer is stored. Figures: the test red before, green after.

--- a/lib/relay/codec.go
+++ b/lib/relay/codec.go
@@ -149,10 +149,20 @@
 func (c clientCodec) Close() error { return c.conn.Close() }
 
 // serverCodec is the rpc.ServerCodec of a framed connection.
-type serverCodec struct{ *framedConn }
+type serverCodec struct {
+	*framedConn
+	// lost is called once no further request can be read; net/rpc then still waits for the calls that run.
+	lost func()
+}
 
 // ReadRequestHeader reads the next frame and decodes the header of the request in it.
-func (c serverCodec) ReadRequestHeader(r *rpc.Request) error { return c.readHeader(r) }
+func (c serverCodec) ReadRequestHeader(r *rpc.Request) error {
+	err := c.readHeader(r)
+	if err != nil {
+		c.lost()
+	}
+	return err
+}
 
 // ReadRequestBody decodes the body of the request whose header was read last; a nil body discards it.
 func (c serverCodec) ReadRequestBody(body any) error { return c.readBody(body) }
--- a/lib/relay/relay_test.go
+++ b/lib/relay/relay_test.go
@@ -199,3 +199,29 @@
 	a := relay.NewPeers(relay.DialTCP).Exec(t.Context(), addr, request("1", "body", time.Minute))
 	is.True(a.Verdict().HasRun())
 }
+
+// TestLostConnectionCancelsItsRequests guards against requests that run on, or begin to run, after the peer that sent them
+// is gone.
+func TestLostConnectionCancelsItsRequests(t *testing.T) {
+	started, canceled := make(chan struct{}), make(chan struct{})
+	addr := serve(t, func(ctx context.Context, _ call.Request) call.Answer {
+		close(started)
+		<-ctx.Done()
+		close(canceled)
+		return call.Refusal(verd.MayHaveRun(verd.ReasonCanceled))
+	})
+	conns := make(chan net.Conn, 1)
+	peers := relay.NewPeers(func(ctx context.Context, addr string) (net.Conn, error) {
+		conn, err := relay.DialTCP(ctx, addr)
+		conns <- conn
+		return conn, err
+	})
+	go peers.Exec(t.Context(), addr, request("1", "", time.Minute))
+	<-started
+	_ = (<-conns).Close()
+	select {
+	case <-canceled:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the request was not canceled")
+	}
+}
--- a/lib/relay/server.go
+++ b/lib/relay/server.go
@@ -73,7 +73,7 @@
 	if err := server.RegisterName(serviceName, receiver); err != nil {
 		return
 	}
-	server.ServeCodec(serverCodec{newFramedConn(conn)})
+	server.ServeCodec(serverCodec{framedConn: newFramedConn(conn), lost: cancel})
 }
 
 // track registers a connection to be closed with the server. It returns false if the server is closed already.
