Leave time for the last answers when callers get longer than the stop lasts

Callers would see: with a drain delay above the stop timeout, which the settings allow, and on a platform with a grace time of less than 2.7 s, the connection of a request in flight ends without an answer. Cause: the time that callers get used up the whole stop timeout, and nothing was left for the last answers. Evidence: TestRequestIsAnsweredWhenCallersGetLongerThanTheStop failed before ('no answer at the end of the stop'). Change: Node.Stop returns 300 ms before the stop timeout at the latest. Ruled out: refusing such settings, since the platform sets the grace time.

--- a/lib/node/stop.go
+++ b/lib/node/stop.go
@@ -25,8 +25,11 @@
 // working meanwhile.
 func (n *Node) Stop(ctx context.Context, callersLeave time.Duration) {
 	if end, ok := ctx.Deadline(); ok {
-		end = end.Add(-lastAnswerTime)
-		n.lastDeadline.Store(&end)
+		last := end.Add(-lastAnswerTime)
+		n.lastDeadline.Store(&last)
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, last)
+		defer cancel()
 	}
 	n.stopping.Store(true)
 	if n.Leased() {
--- a/lib/node/stop_test.go
+++ b/lib/node/stop_test.go
@@ -60,3 +60,27 @@
 	a := n.Serve(t.Context(), call.NewRequest("1", "POST", "/orders", ""))
 	is.Equal(a.Verdict(), verd.NotRun(verd.ReasonLeaving))
 }
+
+// TestRequestIsAnsweredWhenCallersGetLongerThanTheStop guards against a stop whose time is used up before its last answers.
+func TestRequestIsAnsweredWhenCallersGetLongerThanTheStop(t *testing.T) {
+	is := is.New(t)
+	running := make(chan struct{})
+	n := readyUntraced(t, func(ctx context.Context, _ call.Request) (call.Answer, bool) {
+		close(running)
+		<-ctx.Done()
+		return call.Refusal(verd.MayHaveRun(verd.ReasonCanceled)), false
+	})
+	answers := make(chan call.Answer, 1)
+	go func() { answers <- n.Serve(t.Context(), call.NewRequest("1", "GET", "/items/1", "")) }()
+	<-running
+	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+	defer cancel()
+	n.Stop(ctx, time.Minute)
+	is.True(n.Finish(ctx) != nil)
+	select {
+	case a := <-answers:
+		is.Equal(a.Verdict(), verd.MayHaveRun(verd.ReasonLeaving))
+	default:
+		t.Fatal("no answer at the end of the stop")
+	}
+}
