Log the steps of a stop

Change: one line when callers are refused and one when all requests are, with the requests that still wait here and at the backend server. Ruled out: ids of all requests in flight in one line; their number is not bounded.

--- a/lib/node/stop.go
+++ b/lib/node/stop.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"tamarackrudder.org/lib/call"
 	"tamarackrudder.org/lib/verd"
 )
@@ -35,15 +37,30 @@
 	if n.Leased() {
 		n.Drain(ctx)
 		n.wait(ctx, callersLeave)
-		n.refusesCallers.Store(true)
+		n.refuseCallers()
 		return
 	}
 	n.wait(ctx, callersLeave)
-	n.refusesCallers.Store(true)
+	n.refuseCallers()
 	n.Drain(ctx)
 	n.wait(ctx, peerNoticeTime)
 }
 
+func (n *Node) refuseCallers() {
+	n.refusesCallers.Store(true)
+	n.logStop("callers are refused from now on")
+}
+
+func (n *Node) refuseAll() {
+	n.refusesAll.Store(true)
+	n.logStop("all requests are refused from now on")
+}
+
+// logStop logs one step of a stop, with the requests that entered here and those for the local backend server.
+func (n *Node) logStop(msg string) {
+	_ = level.Info(n.log).Log("msg", msg, "entered", n.serving.len(), "executing", n.executing.len())
+}
+
 // checkStopping refuses a request that comes from a caller after the time that a stop gives callers to leave, and any
 // request after the last one of the local backend server has ended.
 func (n *Node) checkStopping(e *entry) *verd.Verdict {
@@ -75,7 +92,7 @@
 func (n *Node) Finish(ctx context.Context) error {
 	err := n.waitIdle(ctx)
 	if err != nil {
-		n.refusesAll.Store(true)
+		n.refuseAll()
 		n.giveUp()
 		if unanswered := n.serving.wait(ctx); unanswered != nil {
 			err = fmt.Errorf("not answered: %w", unanswered)
@@ -98,7 +115,7 @@
 	if err := n.executing.wait(ctx); err != nil {
 		return err
 	}
-	n.refusesAll.Store(true)
+	n.refuseAll()
 	return n.serving.wait(ctx)
 }
 
