Let a node outlive the reader of its log

Callers would see: when the process that reads a node's log ends, the node ends at its next line, with all requests in flight. Cause: a write to a closed standard output raises SIGPIPE, whose default action ends the process. Class: signals left to their default action, found when the cause of the second stop signal was looked for elsewhere. Change: SIGPIPE is ignored, so that the write fails; the logger ignores the error, as there is nowhere to report it. Ruled out: signals without a handler that remain are SIGQUIT and the like, which mean to end a process at once.

--- a/tamarackbench/fleet/stop_test.go
+++ b/tamarackbench/fleet/stop_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -139,3 +141,23 @@
 		})
 	}
 }
+
+// TestNodeOutlivesTheReaderOfItsLog guards against a node that ends, with its requests, when nobody reads its log any more.
+func TestNodeOutlivesTheReaderOfItsLog(t *testing.T) {
+	is := is.New(t)
+	reader, log, err := os.Pipe()
+	is.NoErr(err)
+	f, err := fleet.Start(t.Context(), fleet.Small(), fleet.NewOptions("full", log, launch).
+		WithNodeFlags(slices.Concat(shortLease, []string{"--log-level", "info"})...))
+	is.NoErr(err)
+	t.Cleanup(f.Stop)
+	is.NoErr(reader.Close())
+	node := f.EndpointsOf("shop")[0]
+	kept := dialNode(t, node)
+	is.Equal(kept.get("/items/1").status, http.StatusOK)
+	for range 3 {
+		node.Node().Signal(syscall.SIGHUP) // it logs a line
+		time.Sleep(50 * time.Millisecond)
+	}
+	is.Equal(kept.get("/items/2").status, http.StatusOK)
+}
--- a/tamarackd/wiring/signals.go
+++ b/tamarackd/wiring/signals.go
@@ -22,6 +22,7 @@
 	s := signals{stop: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
 	signal.Notify(s.stop, os.Interrupt, syscall.SIGTERM)
 	signal.Notify(s.reload, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE) // a write to a log that nobody reads then fails with an error
 	return s
 }
 
