Bound the requests of peers by the end of a stop

Cause: only requests that enter at a stopping node got a deadline before its end; those that its peers send it until it leaves kept theirs. The same class as for callers: work admitted without regard to the time that is left. Evidence: TestPeersRequestEndsBeforeTheStopTimeout failed before (the deadline was a minute after the end). Change: Exec applies the same bound. A request that cannot finish only because of it is refused as leaving, so that the entry node sends it elsewhere without using up a retry.

--- a/lib/node/exec.go
+++ b/lib/node/exec.go
@@ -34,7 +34,7 @@
 func (n *Node) Exec(ctx context.Context, r call.Request) call.Answer {
 	n.executing.enter()
 	defer n.executing.leave()
-	a := n.exec(ctx, r)
+	a := n.execBounded(ctx, r)
 	if r.Service() != n.settings.service || n.rules.Load() == nil {
 		return a.WithInFlight(n.queue.InFlight())
 	}
@@ -48,6 +48,17 @@
 	return a.WithInFlight(n.queue.InFlight())
 }
 
+// execBounded executes a request with a deadline before the end of a stop. If only that deadline is too early, the refusal
+// names the stop, so that the entry node sends the request elsewhere.
+func (n *Node) execBounded(ctx context.Context, r call.Request) call.Answer {
+	bounded := r.WithDeadline(n.boundByStop(r.Deadline()))
+	a := n.exec(ctx, bounded)
+	if bounded.Deadline().Before(r.Deadline()) && a.Verdict() == verd.NotRun(verd.ReasonDeadline) {
+		return refuse(r, verd.ReasonLeaving)
+	}
+	return a
+}
+
 func (n *Node) exec(ctx context.Context, r call.Request) call.Answer {
 	service, ok := n.localService()
 	switch {
--- a/lib/node/stop_test.go
+++ b/lib/node/stop_test.go
@@ -84,3 +84,23 @@
 		t.Fatal("no answer at the end of the stop")
 	}
 }
+
+// TestPeersRequestEndsBeforeTheStopTimeout guards against a peer's request that a stopping node takes and breaks off.
+func TestPeersRequestEndsBeforeTheStopTimeout(t *testing.T) {
+	is := is.New(t)
+	deadlines := make(chan time.Time, 1)
+	n := readyUntraced(t, func(_ context.Context, r call.Request) (call.Answer, bool) {
+		deadlines <- r.Deadline()
+		return call.NewAnswer(200, nil, nil), false
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	end, _ := ctx.Deadline()
+	go n.Stop(ctx, time.Minute)
+	for !n.Stopping() {
+		time.Sleep(time.Millisecond)
+	}
+	peers := call.NewRequest("1", "GET", "/items/1", "").WithRoute("desk", false)
+	is.True(n.Exec(t.Context(), peers.WithDeadline(end.Add(time.Minute))).Verdict().HasRun())
+	is.True((<-deadlines).Before(end))
+}
