Refuse what a leaving endpoint drops from its queue as leaving

Callers saw: requests that waited at an endpoint when it left used up their one retry, or were refused where no retry was left. Cause: the queue's drop was reported as queueFull whatever its reason; entry nodes send requests elsewhere without cost only for a refusal as leaving. Evidence: TestLeavingEndpointRefusesQueuedRequests now expects the reason and failed before; it only asked for not-run. Change: what is dropped by an endpoint that leaves is refused as leaving.

--- a/lib/node/exec.go
+++ b/lib/node/exec.go
@@ -195,7 +195,7 @@
 	route := n.routeOf(r)
 	run := func() { n.runJob(ctx, r, service, route, ended) }
 	drop := func() {
-		a := refuse(r, verd.ReasonQueueFull)
+		a := refuse(r, n.dropReason())
 		n.settle(r, a)
 		ended <- a
 	}
@@ -226,6 +226,15 @@
 	return <-ended
 }
 
+// dropReason returns why a queued request is dropped: an endpoint that leaves drops all, so that entry nodes send them
+// elsewhere.
+func (n *Node) dropReason() verd.Reason {
+	if n.leaving.Load() {
+		return verd.ReasonLeaving
+	}
+	return verd.ReasonQueueFull
+}
+
 func contextReason(ctx context.Context) verd.Reason {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return verd.ReasonDeadline
--- a/lib/node/untraced_test.go
+++ b/lib/node/untraced_test.go
@@ -180,7 +180,7 @@
 	n.Drain(t.Context())
 	for range requests - running {
 		a := <-answers
-		is.True(a.Verdict().IsNotRun()) // so that the entry nodes send it elsewhere
+		is.Equal(a.Verdict(), verd.NotRun(verd.ReasonLeaving)) // so that the entry nodes send it elsewhere
 	}
 	is.True(time.Since(began) < 2*time.Second) // the platform's bound for an endpoint that leaves
 	close(release)
