Let no undrain undo a stop

Callers would see: after an operator's undrain during a stop, or one that waited for the list, a stopping node takes requests again and breaks them off at its end. Cause: two callers of Undrain looked at the stop before they waited, the third did not look at all. Evidence: TestUndrainDoesNotUndoAStop failed before. Change: Undrain itself does nothing while the node stops; the checks of its callers are gone.

--- a/lib/node/leave.go
+++ b/lib/node/leave.go
@@ -67,7 +67,7 @@
 			}
 		})
 	}
-	if !leaving && n.listedLeaving.CompareAndSwap(true, false) && !n.stopping.Load() {
+	if !leaving && n.listedLeaving.CompareAndSwap(true, false) {
 		go n.whenOwnershipActive(n.Undrain)
 	}
 }
@@ -192,9 +192,9 @@
 		"held", covered, "fence", cutoff, "active", n.group.Status().Active())
 }
 
-// Undrain accepts new work again; keys are served again once the lease allows it.
+// Undrain accepts new work again, unless the node stops; keys are served again once the lease allows it.
 func (n *Node) Undrain() {
-	if !n.leaving.CompareAndSwap(true, false) {
+	if n.stopping.Load() || !n.leaving.CompareAndSwap(true, false) {
 		return
 	}
 	_ = level.Info(n.log).Log("msg", "no longer leaving")
@@ -211,7 +211,7 @@
 	for n.wait(n.ctx, probeInterval) {
 		if n.seams.Probe(n.ctx) {
 			failures = 0
-			if drained && !n.stopping.Load() {
+			if drained {
 				drained = false
 				n.Undrain()
 			}
--- a/lib/node/stop_test.go
+++ b/lib/node/stop_test.go
@@ -104,3 +104,11 @@
 	is.True(n.Exec(t.Context(), peers.WithDeadline(end.Add(time.Minute))).Verdict().HasRun())
 	is.True((<-deadlines).Before(end))
 }
+
+// TestUndrainDoesNotUndoAStop guards against requests that a stopping node takes again after an undrain.
+func TestUndrainDoesNotUndoAStop(t *testing.T) {
+	is := is.New(t)
+	n, _ := newStopped(t, func(context.Context, string, call.Request) call.Answer { return call.NewAnswer(200, nil, nil) })
+	n.Undrain()
+	is.True(n.Leaving())
+}
