Bound the wait for a peer's answer after a cancel

Callers would see: at the end of a stop a request whose peer does not answer gets no answer, since its entry node awaits the peer until the request's deadline. Cause: a cancel was sent and the peer's answer awaited without a bound of its own. Evidence: TestCancelEndsAtAPeerThatStaysSilent failed before ('the canceled request goes on'). Found by the review. Change: after a cancel the peer has 100 ms; then the verdict is may-have-run.

--- a/lib/relay/peers.go
+++ b/lib/relay/peers.go
@@ -22,6 +22,8 @@
 	// answerGrace is how long after the deadline of a request the peer's answer is still awaited, since it may state
 	// that the request did not run.
 	answerGrace = 20 * time.Millisecond
+	// cancelGrace is how long after the cancellation of a request the peer's answer is still awaited.
+	cancelGrace = 100 * time.Millisecond
 	// probeTimeout is how long a peer may take to answer a ping after a connection to it has gone silent.
 	probeTimeout = 300 * time.Millisecond
 	// retiredConnTTL is how long a silent connection stays open after it was replaced, for answers to the requests that
@@ -104,7 +106,7 @@
 
 // Exec sends a request to a peer, which runs it, and returns the answer. If no answer comes, the verdict is "not run" only
 // if the request cannot have reached the peer, or if the peer rejected the rpc call itself. When the caller cancels, Exec
-// forwards the cancellation to the peer and still awaits its answer.
+// forwards the cancellation to the peer and awaits its answer for cancelGrace.
 func (p *Peers) Exec(ctx context.Context, addr string, r call.Request) call.Answer {
 	client, conn, err := p.client(ctx, addr)
 	if err != nil {
@@ -125,7 +127,7 @@
 		case <-pending.Done:
 			return p.answerOf(addr, client, pending, &reply)
 		case <-lateTimer.C:
-			return call.Refusal(verd.MayHaveRun(verd.ReasonSilent))
+			return call.Refusal(verd.MayHaveRun(lateReason(ctx)))
 		case <-silenceCheck.C:
 			if conn.isSilent() && !r.NonIdempotent() {
 				return p.silentAnswer(ctx, addr)
@@ -136,11 +138,20 @@
 			silenceCheck.Stop()
 			if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 				client.Go(serviceName+".Cancel", r.ID(), &Empty{}, make(chan *rpc.Call, 1))
+				lateTimer.Reset(min(cancelGrace, time.Until(r.Deadline())+answerGrace))
 			}
 		}
 	}
 }
 
+// lateReason returns why no answer came in time: the caller has canceled, or the peer is silent.
+func lateReason(ctx context.Context) verd.Reason {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return verd.ReasonCanceled
+	}
+	return verd.ReasonSilent
+}
+
 // silentAnswer returns the answer to an idempotent request that is given up because its connection has gone silent. The
 // reason is ReasonLinkSilent if the peer answers a ping on another connection, else ReasonSilent.
 func (p *Peers) silentAnswer(ctx context.Context, addr string) call.Answer {
--- a/lib/relay/relay_test.go
+++ b/lib/relay/relay_test.go
@@ -225,3 +225,26 @@
 		t.Fatal("the request was not canceled")
 	}
 }
+
+// TestCancelEndsAtAPeerThatStaysSilent guards against a request that outlasts a stop because its peer does not answer.
+func TestCancelEndsAtAPeerThatStaysSilent(t *testing.T) {
+	is := is.New(t)
+	started, release := make(chan struct{}), make(chan struct{})
+	defer close(release)
+	addr := serve(t, func(context.Context, call.Request) call.Answer {
+		close(started)
+		<-release
+		return call.NewAnswer(200, nil, nil)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	answers := make(chan call.Answer, 1)
+	go func() { answers <- relay.NewPeers(relay.DialTCP).Exec(ctx, addr, request("1", "", time.Minute)) }()
+	<-started
+	cancel()
+	select {
+	case a := <-answers:
+		is.Equal(a.Verdict(), verd.MayHaveRun(verd.ReasonCanceled))
+	case <-time.After(5 * time.Second):
+		t.Fatal("the canceled request goes on")
+	}
+}
