Order what the platform says by era and revision

Cause: the feed took the store's revisions for a clock that never goes back. Fix: a position is the era of the answer (Store-Era, 0 if missing) and the revision. Positions are ordered by era first; sequences and versions of lists are built from them (16 bits for the era, 40 for the revision, 8 for local changes), so nodes order peers' values as before. Nothing is applied from a watch that began in another era. Ruled out: a watch that hears nothing, and nodes that refuse what the feed publishes, both by the log.

--- a/lib/roster/roster.go
+++ b/lib/roster/roster.go
@@ -15,14 +15,14 @@
 	// expiryWindow is how long after an outage a removed entry may have expired because its heartbeats did not arrive.
 	expiryWindow = time.Second
 	// localChangeBits is the number of low bits of a list's version that count changes made here; the bits above them
-	// hold the platform's revision.
+	// hold the sequence of the platform's position.
 	localChangeBits = 8
 )
 
 // entry is one published entry. One that was removed counts until countsUntil.
 type entry struct {
 	endpoint    hosts.Endpoint
-	revision    uint64
+	position    Position
 	removed     bool
 	countsUntil time.Time
 }
@@ -32,7 +32,7 @@
 	clock            clock.Clock
 	mu               sync.Mutex
 	entries          map[string]*entry
-	revision         uint64
+	position         Position
 	localChanges     uint64
 	unreachableSince time.Time
 	reachableSince   time.Time
@@ -43,42 +43,46 @@
 // NewTable returns an empty table.
 func NewTable(c clock.Clock) *Table { return &Table{clock: c, entries: map[string]*entry{}} }
 
-// Put records an entry, unless the same or a newer revision of it is recorded and has not been removed since.
-func (t *Table) Put(name string, e hosts.Endpoint, revision uint64) {
+// Put records an entry, unless the same or a newer change of it is recorded and has not been removed since. Changes of
+// another epoch than that of the last Replace are ignored.
+func (t *Table) Put(name string, e hosts.Endpoint, p Position) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.put(name, e, revision)
+	if p.epoch == t.position.epoch {
+		t.put(name, e, p)
+	}
 }
 
-func (t *Table) put(name string, e hosts.Endpoint, revision uint64) {
+func (t *Table) put(name string, e hosts.Endpoint, p Position) {
 	recorded, ok := t.entries[name]
-	if ok && recorded.revision >= revision && !recorded.removed {
+	if ok && !p.After(recorded.position) && !recorded.removed {
 		return
 	}
-	t.entries[name] = &entry{endpoint: e, revision: revision}
-	t.advance(revision)
+	t.entries[name] = &entry{endpoint: e, position: p}
+	t.advance(p)
 }
 
-// advance records the platform's newest revision, at which the count of local changes begins again.
-func (t *Table) advance(revision uint64) {
-	if revision > t.revision {
-		t.revision, t.localChanges = revision, 0
+// advance records the platform's newest position, at which the count of local changes begins again.
+func (t *Table) advance(p Position) {
+	if p.After(t.position) {
+		t.position, t.localChanges = p, 0
 	}
 }
 
-// Remove records that an entry was removed. The entry counts for a short time longer if it may only have expired.
-func (t *Table) Remove(name string, revision uint64) {
+// Remove records that an entry was removed. The entry counts for a short time longer if it may only have expired. Changes
+// of another epoch than that of the last Replace are ignored.
+func (t *Table) Remove(name string, p Position) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	recorded, ok := t.entries[name]
-	if !ok || recorded.revision >= revision {
+	if !ok || p.epoch != t.position.epoch || !p.After(recorded.position) {
 		return
 	}
-	t.advance(revision)
-	t.remove(name, recorded, revision)
+	t.advance(p)
+	t.remove(name, recorded)
 }
 
-func (t *Table) remove(name string, recorded *entry, revision uint64) {
+func (t *Table) remove(name string, recorded *entry) {
 	if !t.mayHaveExpired() || recorded.endpoint.Leaving() {
 		delete(t.entries, name)
 		return
@@ -86,7 +90,7 @@
 	if recorded.removed {
 		return
 	}
-	recorded.removed, recorded.revision = true, revision
+	recorded.removed = true
 	recorded.countsUntil = t.reachableSince.Add(missingGrace)
 }
 
@@ -95,33 +99,37 @@
 	return t.unreachable || (!t.reachableSince.IsZero() && t.clock.Now().Sub(t.reachableSince) < expiryWindow)
 }
 
-// NamedEntry is an entry with the name and the revision under which the platform holds it.
+// NamedEntry is an entry with its name at the platform and the position of its last change.
 type NamedEntry struct {
 	name     string
 	endpoint hosts.Endpoint
-	revision uint64
+	position Position
 }
 
-// NewNamedEntry returns an entry with its name and revision at the platform.
-func NewNamedEntry(name string, e hosts.Endpoint, revision uint64) NamedEntry {
-	return NamedEntry{name: name, endpoint: e, revision: revision}
+// NewNamedEntry returns an entry with its name at the platform and the position of its last change.
+func NewNamedEntry(name string, e hosts.Endpoint, p Position) NamedEntry {
+	return NamedEntry{name: name, endpoint: e, position: p}
 }
 
-// Replace records all entries as read at a revision. Recorded entries that are missing from them count as removed.
-func (t *Table) Replace(all []NamedEntry, revision uint64) {
+// Replace records all entries as read at a position. Recorded entries that are missing from them count as removed. What was
+// read in an older epoch than the recorded one is ignored.
+func (t *Table) Replace(all []NamedEntry, p Position) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if p.epoch < t.position.epoch {
+		return
+	}
 	present := map[string]bool{}
 	for _, n := range all {
 		present[n.name] = true
-		t.put(n.name, n.endpoint, n.revision)
+		t.put(n.name, n.endpoint, n.position)
 	}
 	for name, recorded := range t.entries {
-		if !present[name] && recorded.revision <= revision {
-			t.remove(name, recorded, revision)
+		if !present[name] && !recorded.position.After(p) {
+			t.remove(name, recorded)
 		}
 	}
-	t.advance(revision)
+	t.advance(p)
 	t.everRead = true
 }
 
@@ -177,7 +185,7 @@
 	for _, e := range newest {
 		endpoints = append(endpoints, e)
 	}
-	list, err := hosts.NewList(t.revision<<localChangeBits|min(t.localChanges, 1<<localChangeBits-1), endpoints)
+	list, err := hosts.NewList(t.position.Sequence()<<localChangeBits|min(t.localChanges, 1<<localChangeBits-1), endpoints)
 	if err != nil {
 		return nil, next, fmt.Errorf("roster: %w", err)
 	}
--- a/lib/roster/roster_test.go
+++ b/lib/roster/roster_test.go
@@ -17,6 +17,17 @@
 	return hosts.NewEndpoint(service, ip, "z0", ip+":1", false).WithInstance(service+ip, started)
 }
 
+// at returns the position of a revision in the first epoch.
+func at(revision uint64) roster.Position { return atEpoch(0, revision) }
+
+func atEpoch(epoch, revision uint64) roster.Position {
+	p, err := roster.NewPosition(epoch, revision)
+	if err != nil {
+		panic(err)
+	}
+	return p
+}
+
 // listed returns the services of the list in force by address.
 func listed(t *testing.T, table *roster.Table) map[string]string {
 	t.Helper()
@@ -34,8 +45,8 @@
 func TestNewestStartAtAnAddressCounts(t *testing.T) {
 	is := is.New(t)
 	table := roster.NewTable(clock.NewManual(start))
-	table.Put("b", endpoint("shop", "10.0.0.1", start.Add(time.Minute)), 7)
-	table.Put("a", endpoint("desk", "10.0.0.1", start), 8) // the older start's last heartbeat arrives late
+	table.Put("b", endpoint("shop", "10.0.0.1", start.Add(time.Minute)), at(7))
+	table.Put("a", endpoint("desk", "10.0.0.1", start), at(8)) // the older start's last heartbeat arrives late
 	is.Equal(listed(t, table), map[string]string{"10.0.0.1": "shop"})
 }
 
@@ -43,8 +54,8 @@
 	is := is.New(t)
 	table := roster.NewTable(clock.NewManual(start))
 	e := endpoint("desk", "10.0.0.1", start)
-	table.Put("a", e.WithLeaving(), 7)
-	table.Put("a", e, 6)
+	table.Put("a", e.WithLeaving(), at(7))
+	table.Put("a", e, at(6))
 	list, _, err := table.List()
 	is.NoErr(err)
 	is.True(list.Endpoints()[0].Leaving())
@@ -71,13 +82,13 @@
 			is := is.New(t)
 			c := clock.NewManual(start)
 			table := roster.NewTable(c)
-			table.Put("a", endpoint("desk", "10.0.0.1", start), 7)
+			table.Put("a", endpoint("desk", "10.0.0.1", start), at(7))
 			table.MarkUnreachable()
 			c.Advance(10 * time.Second)
 			is.Equal(len(listed(t, table)), 1) // the last list stays in force while the platform is unreachable
 			table.MarkReachable()
 			c.Advance(test.removed)
-			table.Remove("a", 8)
+			table.Remove("a", at(8))
 			c.Advance(test.looked - test.removed)
 			is.Equal(len(listed(t, table)) == 1, test.want)
 		})
@@ -87,11 +98,11 @@
 func TestRemovedWithoutOutage(t *testing.T) {
 	is := is.New(t)
 	table := roster.NewTable(clock.NewManual(start))
-	table.Put("a", endpoint("desk", "10.0.0.1", start), 7)
-	table.Put("b", endpoint("desk", "10.0.0.2", start), 7)
-	table.Remove("a", 8)
+	table.Put("a", endpoint("desk", "10.0.0.1", start), at(7))
+	table.Put("b", endpoint("desk", "10.0.0.2", start), at(7))
+	table.Remove("a", at(8))
 	is.Equal(listed(t, table), map[string]string{"10.0.0.2": "desk"})
-	table.Replace(nil, 9)
+	table.Replace(nil, at(9))
 	is.Equal(len(listed(t, table)), 0)
 }
 
@@ -106,14 +117,14 @@
 		is.True(list.Version() > last)
 		last = list.Version()
 	}
-	table.Put("a", endpoint("desk", "10.0.0.1", start), 7)
+	table.Put("a", endpoint("desk", "10.0.0.1", start), at(7))
 	grows()
 	table.MarkUnreachable()
 	table.MarkReachable()
-	table.Remove("a", 8)
+	table.Remove("a", at(8))
 	grows()
 	c.Advance(3 * time.Second)
 	grows() // the expired entry stopped counting without a change at the platform
-	table.Put("b", endpoint("desk", "10.0.0.1", start), 9)
+	table.Put("b", endpoint("desk", "10.0.0.1", start), at(9))
 	grows()
 }
