Let no thread spin when an outage follows another closely

An entry removed after an outage expires 2.2 s later. If the platform is lost again before that, the list named that moment, long past, as its next change, and Feed.Watch asked again without a pause until the platform was back. Fix: while the platform is unreachable no change is due; when it comes back the expiry is set anew, as before. Evidence: TestNoChangeIsDueDuringOutage fails before (the next change lies in the past) and passes after.

--- a/lib/roster/roster.go
+++ b/lib/roster/roster.go
@@ -173,7 +173,7 @@
 			t.localChanges++
 			continue
 		}
-		if e.removed && (next.IsZero() || e.countsUntil.Before(next)) {
+		if e.removed && !t.unreachable && (next.IsZero() || e.countsUntil.Before(next)) {
 			next = e.countsUntil
 		}
 		addr := e.endpoint.RPCAddr()
--- a/lib/roster/roster_test.go
+++ b/lib/roster/roster_test.go
@@ -95,6 +95,27 @@
 	}
 }
 
+// TestNoChangeIsDueDuringOutage guards against a watch that never sleeps: an entry in its grace period when the next outage
+// begins does not expire before the platform is reachable again.
+func TestNoChangeIsDueDuringOutage(t *testing.T) {
+	is := is.New(t)
+	c := clock.NewManual(start)
+	table := roster.NewTable(c)
+	table.Put("a", endpoint("desk", "10.0.0.1", start), at(7))
+	table.MarkUnreachable()
+	table.MarkReachable()
+	table.Remove("a", at(8))
+	table.MarkUnreachable()
+	c.Advance(10 * time.Second)
+	_, next, err := table.List()
+	is.NoErr(err)
+	is.True(next.IsZero())
+	table.MarkReachable()
+	_, next, err = table.List()
+	is.NoErr(err)
+	is.True(next.After(c.Now()))
+}
+
 func TestRemovedWithoutOutage(t *testing.T) {
 	is := is.New(t)
 	table := roster.NewTable(clock.NewManual(start))
