Keep endpoints that a restored platform has yet to hear of again

What callers would see: after a restoration that no call had noticed by failing, endpoints that registered after the backup was made leave the list at once, up to a heartbeat before their entries are back; requests meet fewer backend servers, or none. Cause: entries that are missing counted for a grace period only after an outage that this node had seen, not after a restoration. Fix: the first read of a new epoch begins the same grace period as the end of an outage. Ruled out: a grace of its own length, since the entries come again with the endpoints' next heartbeat, as after an outage. Evidence: TestEndpointMissingFromBackupCountsForGracePeriod fails before (0 of 2 endpoints listed) and passes after.

--- a/lib/roster/roster.go
+++ b/lib/roster/roster.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// missingGrace is how long a missing entry still counts after the platform has become reachable again.
+	// missingGrace is how long a missing entry still counts after the platform has become reachable again or was restored.
 	missingGrace = 2200 * time.Millisecond
-	// expiryWindow is how long after an outage a removed entry may have expired because its heartbeats did not arrive.
+	// expiryWindow is how long after an outage or a restoration a removed entry may have expired because its heartbeats did not arrive.
 	expiryWindow = time.Second
 	// localChangeBits is the number of low bits of a list's version that count changes made here; the bits above them
 	// hold the sequence of the platform's position.
@@ -35,7 +35,7 @@
 	position         Position
 	localChanges     uint64
 	unreachableSince time.Time
-	reachableSince   time.Time
+	graceSince       time.Time // the end of the last outage, or the last restoration
 	unreachable      bool
 	everRead         bool
 }
@@ -91,12 +91,13 @@
 		return
 	}
 	recorded.removed = true
-	recorded.countsUntil = t.reachableSince.Add(missingGrace)
+	recorded.countsUntil = t.graceSince.Add(missingGrace)
 }
 
-// mayHaveExpired reports whether entries may be missing only because their writers could not reach the platform.
+// mayHaveExpired reports whether entries may be missing only because their writers could not reach the platform, or have
+// not written them again since it was restored.
 func (t *Table) mayHaveExpired() bool {
-	return t.unreachable || (!t.reachableSince.IsZero() && t.clock.Now().Sub(t.reachableSince) < expiryWindow)
+	return t.unreachable || (!t.graceSince.IsZero() && t.clock.Now().Sub(t.graceSince) < expiryWindow)
 }
 
 // NamedEntry is an entry with its name at the platform and the position of its last change.
@@ -119,6 +120,9 @@
 	if p.epoch < t.position.epoch {
 		return
 	}
+	if t.everRead && p.epoch > t.position.epoch {
+		t.startGrace(t.clock.Now())
+	}
 	present := map[string]bool{}
 	for _, n := range all {
 		present[n.name] = true
@@ -150,13 +154,19 @@
 		return 0
 	}
 	now := t.clock.Now()
-	t.unreachable, t.reachableSince = false, now
+	t.unreachable = false
+	t.startGrace(now)
+	return now.Sub(t.unreachableSince)
+}
+
+// startGrace lets missing entries count for missingGrace from now.
+func (t *Table) startGrace(now time.Time) {
+	t.graceSince = now
 	for _, e := range t.entries {
 		if e.removed {
 			e.countsUntil = now.Add(missingGrace)
 		}
 	}
-	return now.Sub(t.unreachableSince)
 }
 
 // List returns the list in force, and when it will change without an update because a removed entry stops counting, zero
--- a/lib/roster/roster_test.go
+++ b/lib/roster/roster_test.go
@@ -95,6 +95,26 @@
 	}
 }
 
+// TestEndpointMissingFromBackupCountsForGracePeriod guards against an endpoint that is dropped at a restoration because it
+// registered after the backup was made. No outage is noticed before the restoration.
+func TestEndpointMissingFromBackupCountsForGracePeriod(t *testing.T) {
+	is := is.New(t)
+	c := clock.NewManual(start)
+	table := roster.NewTable(c)
+	table.Replace(nil, atEpoch(1, 5))
+	table.Put("a", endpoint("desk", "10.0.0.1", start), atEpoch(1, 7))
+	table.Put("b", endpoint("desk", "10.0.0.2", start), atEpoch(1, 8))
+	c.Advance(time.Minute)
+	table.Replace(nil, atEpoch(2, 6))
+	is.Equal(len(listed(t, table)), 2)
+	c.Advance(time.Second)
+	table.Put("a", endpoint("desk", "10.0.0.1", start), atEpoch(2, 7))
+	c.Advance(time.Second)
+	is.Equal(len(listed(t, table)), 2)
+	c.Advance(time.Second)
+	is.Equal(listed(t, table), map[string]string{"10.0.0.1": "desk"})
+}
+
 // TestNoChangeIsDueDuringOutage guards against a watch that never sleeps: an entry in its grace period when the next outage
 // begins does not expire before the platform is reachable again.
 func TestNoChangeIsDueDuringOutage(t *testing.T) {
