Let a backup bring back no endpoint that is leaving or gone

What callers would see: after a restoration requests go to endpoints that drain or have left, and fail when those end, until they have written their state again (1.5 s) or the store has dropped the old entry (4.5 s). Cause: the first read of a new era replaced whatever was known, though a backup is older than that. An entry read first after a restoration with the same start and no more heartbeats than were known of the endpoint is outdated: the endpoint stays as known. A later change counts as usual. An entry that the store still has after 6 s counts as well: its endpoint sends heartbeats, which change nothing but their count. Evidence: TestBackupBringsNoEndpointBack (roster: 5 of 12 cases; platform) and TestNextChangeAfterRestoration fail before, all pass.

--- a/lib/hosts/hosts.go
+++ b/lib/hosts/hosts.go
@@ -27,6 +27,8 @@
 	slots    int
 	started  time.Time
 	warmAt   time.Time
+	// heartbeats counts the heartbeats of this start until the entry was written, zero where the platform reports none.
+	heartbeats int64
 }
 
 // NewEndpoint returns an endpoint. Its node listens for peers at rpcAddr, an IP address and port.
@@ -59,6 +61,10 @@
 // WithWarmAt returns the endpoint with the wall time at which the slow phase after its backend server's start ends.
 func (e Endpoint) WithWarmAt(at time.Time) Endpoint { e.warmAt = at; return e }
 
+// WithHeartbeats returns the endpoint with the number of heartbeats that its backend server had sent since its start when
+// the entry was written.
+func (e Endpoint) WithHeartbeats(count int64) Endpoint { e.heartbeats = count; return e }
+
 // WithLeaving returns the endpoint listed as leaving.
 func (e Endpoint) WithLeaving() Endpoint { e.leaving = true; return e }
 
@@ -74,6 +80,10 @@
 // WarmAt returns the wall time at which the slow phase after the backend server's start ends.
 func (e Endpoint) WarmAt() time.Time { return e.warmAt }
 
+// Heartbeats returns the number of heartbeats that the backend server had sent since its start when the entry was written,
+// zero where it is not known.
+func (e Endpoint) Heartbeats() int64 { return e.heartbeats }
+
 // Leaving reports whether the platform lists the endpoint as leaving.
 func (e Endpoint) Leaving() bool { return e.leaving }
 
--- /dev/null
+++ b/lib/roster/restore_test.go
@@ -0,0 +1,128 @@
+package roster_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tamarackrudder.org/lib/clock"
+	"tamarackrudder.org/lib/hosts"
+	"tamarackrudder.org/lib/roster"
+)
+
+// beating returns an endpoint of the service desk as it registers with the given heartbeat.
+func beating(heartbeats int64) hosts.Endpoint {
+	return endpoint("desk", "10.0.0.1", start).WithHeartbeats(heartbeats)
+}
+
+func named(e hosts.Endpoint, p roster.Position) []roster.NamedEntry {
+	return []roster.NamedEntry{roster.NewNamedEntry("a", e, p)}
+}
+
+// stateOf returns live, leaving or gone for the one endpoint that the table may list.
+func stateOf(t *testing.T, table *roster.Table) string {
+	t.Helper()
+	list, _, err := table.List()
+	if err != nil {
+		t.Fatal(err)
+	}
+	switch {
+	case len(list.Endpoints()) == 0:
+		return "gone"
+	case list.Endpoints()[0].Leaving():
+		return "leaving"
+	}
+	return "live"
+}
+
+// TestBackupBringsNoEndpointBack guards against requests to an endpoint that is known as leaving or gone, after the platform
+// was restored from a backup that still lists it as live.
+func TestBackupBringsNoEndpointBack(t *testing.T) {
+	leave := func(table *roster.Table) { table.Put("a", beating(9).WithLeaving(), atEpoch(1, 9)) }
+	remove := func(table *roster.Table) { table.Remove("a", atEpoch(1, 9)) }
+	leaveAndRemove := func(table *roster.Table) {
+		leave(table)
+		table.Remove("a", atEpoch(1, 10))
+	}
+	nothing := func(*roster.Table) {}
+	again := func(heartbeats int64) func(table *roster.Table) {
+		return func(table *roster.Table) { table.Put("a", beating(heartbeats), atEpoch(3, 9)) }
+	}
+	restarted := beating(1).WithInstance("desk10.0.0.1", start.Add(time.Second))
+	tests := []struct {
+		name   string
+		before func(table *roster.Table)
+		backup hosts.Endpoint
+		after  func(table *roster.Table)
+		waited time.Duration
+		want   string
+	}{
+		{"live", nothing, beating(1), nothing, 0, "live"},
+		{"leaving", leave, beating(1), nothing, 0, "leaving"},
+		{"leaving, a while later", leave, beating(1), nothing, 5 * time.Second, "leaving"},
+		{"leaving, written again", leave, beating(1), again(12), 0, "live"},
+		{"gone", remove, beating(1), nothing, 0, "gone"},
+		{"left", leaveAndRemove, beating(1), nothing, 0, "gone"},
+		{"gone, a while later", remove, beating(1), nothing, 5 * time.Second, "gone"},
+		{"gone, written again", remove, beating(1), again(12), 0, "live"},
+		{"gone, written again before the first read", remove, beating(12), nothing, 0, "live"},
+		{"gone, but kept by the platform", remove, beating(1), nothing, 7 * time.Second, "live"},
+		{"gone, started again under its name", remove, restarted, nothing, 0, "live"},
+		{"left, started again under its name", leaveAndRemove, restarted, nothing, 0, "live"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			c := clock.NewManual(start)
+			table := roster.NewTable(c)
+			table.Replace(named(beating(1), atEpoch(1, 5)), atEpoch(1, 5))
+			test.before(table)
+			table.Replace(named(test.backup, atEpoch(2, 5)), atEpoch(2, 6))
+			table.Replace(named(test.backup, atEpoch(3, 5)), atEpoch(3, 6))
+			test.after(table)
+			c.Advance(test.waited)
+			is.Equal(stateOf(t, table), test.want)
+		})
+	}
+}
+
+// TestNextChangeAfterRestoration checks that the list names the time at which an outdated entry begins to count.
+func TestNextChangeAfterRestoration(t *testing.T) {
+	is := is.New(t)
+	c := clock.NewManual(start)
+	table := roster.NewTable(c)
+	table.Replace(named(beating(1), atEpoch(1, 5)), atEpoch(1, 5))
+	table.Remove("a", atEpoch(1, 6))
+	table.Replace(named(beating(1), atEpoch(2, 5)), atEpoch(2, 5))
+	before, next, err := table.List()
+	is.NoErr(err)
+	is.True(next.After(c.Now()))
+	c.Advance(next.Sub(c.Now()))
+	after, next, err := table.List()
+	is.NoErr(err)
+	is.True(next.IsZero())
+	is.Equal(len(after.Endpoints()), 1)
+	is.True(after.Version() > before.Version())
+}
+
+func TestOlderEpochChangesNothing(t *testing.T) {
+	is := is.New(t)
+	table := roster.NewTable(clock.NewManual(start))
+	table.Replace(named(beating(1), atEpoch(2, 5)), atEpoch(2, 5))
+	table.Replace(nil, atEpoch(1, 9))
+	table.Remove("a", atEpoch(1, 10))
+	table.Put("a", beating(4).WithLeaving(), atEpoch(1, 11))
+	is.Equal(stateOf(t, table), "live")
+}
+
+func TestSequencesOrderEpochsFirst(t *testing.T) {
+	is := is.New(t)
+	const lastRevision = 1<<40 - 1
+	is.True(atEpoch(2, 1).Sequence() > atEpoch(1, lastRevision).Sequence())
+	is.True(atEpoch(2, 1).After(atEpoch(1, lastRevision)))
+	_, err := roster.NewPosition(1, lastRevision+1)
+	is.True(err != nil)
+	_, err = roster.NewPosition(1<<16, 1)
+	is.True(err != nil)
+}
--- a/lib/roster/roster.go
+++ b/lib/roster/roster.go
@@ -19,19 +19,37 @@
 	localChangeBits = 8
 )
 
-// entry is one published entry. One that was removed counts until countsUntil.
+// state is how an entry counts in the list of hosts.
+type state int
+
+const (
+	// published entries count as they are.
+	published state = iota
+	// expiring entries were removed, and count until their grace period ends.
+	expiring
+	// heldLeaving entries count as leaving, although a backup from before they were has brought them back.
+	heldLeaving
+	// heldGone entries do not count, although a backup from before their removal has brought them back.
+	heldGone
+)
+
+// entry is one entry with the endpoint as it is known.
 type entry struct {
-	endpoint    hosts.Endpoint
-	position    Position
-	removed     bool
-	countsUntil time.Time
+	endpoint hosts.Endpoint
+	position Position
+	state    state
+	until    time.Time      // the end of the state, unless that is published
+	outdated hosts.Endpoint // the endpoint according to the backup, while the entry is held
 }
 
+func (e *entry) isHeld() bool { return e.state == heldLeaving || e.state == heldGone }
+
 // Table holds the published entries by name.
 type Table struct {
 	clock            clock.Clock
 	mu               sync.Mutex
 	entries          map[string]*entry
+	tombstones       map[string]tombstone
 	position         Position
 	localChanges     uint64
 	unreachableSince time.Time
@@ -41,7 +59,9 @@
 }
 
 // NewTable returns an empty table.
-func NewTable(c clock.Clock) *Table { return &Table{clock: c, entries: map[string]*entry{}} }
+func NewTable(c clock.Clock) *Table {
+	return &Table{clock: c, entries: map[string]*entry{}, tombstones: map[string]tombstone{}}
+}
 
 // Put records an entry, unless the same or a newer change of it is recorded and has not been removed since. Changes of
 // another epoch than that of the last Replace are ignored.
@@ -55,7 +75,7 @@
 
 func (t *Table) put(name string, e hosts.Endpoint, p Position) {
 	recorded, ok := t.entries[name]
-	if ok && !p.After(recorded.position) && !recorded.removed {
+	if ok && !p.After(recorded.position) && recorded.state != expiring {
 		return
 	}
 	t.entries[name] = &entry{endpoint: e, position: p}
@@ -82,16 +102,13 @@
 	t.remove(name, recorded)
 }
 
-func (t *Table) remove(name string, recorded *entry) {
-	if !t.mayHaveExpired() || recorded.endpoint.Leaving() {
-		delete(t.entries, name)
-		return
-	}
-	if recorded.removed {
-		return
+func (t *Table) remove(name string, e *entry) {
+	switch {
+	case !t.mayHaveExpired() || e.state == heldGone || e.endpoint.Leaving():
+		t.bury(name, e)
+	case e.state != expiring:
+		e.state, e.until = expiring, t.graceSince.Add(missingGrace)
 	}
-	recorded.removed = true
-	recorded.countsUntil = t.graceSince.Add(missingGrace)
 }
 
 // mayHaveExpired reports whether entries may be missing only because their writers could not reach the platform, or have
@@ -113,20 +130,26 @@
 }
 
 // Replace records all entries as read at a position. Recorded entries that are missing from them count as removed. What was
-// read in an older epoch than the recorded one is ignored.
-func (t *Table) Replace(all []NamedEntry, p Position) {
+// read in an older epoch than the recorded one is ignored. Replace returns the names of the entries whose endpoints stay
+// leaving or gone because the platform has brought back outdated ones.
+func (t *Table) Replace(all []NamedEntry, p Position) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if p.epoch < t.position.epoch {
-		return
+		return nil
 	}
-	if t.everRead && p.epoch > t.position.epoch {
+	restored := t.everRead && p.epoch > t.position.epoch
+	if restored {
 		t.startGrace(t.clock.Now())
 	}
 	present := map[string]bool{}
 	for _, n := range all {
 		present[n.name] = true
-		t.put(n.name, n.endpoint, n.position)
+		if restored {
+			t.putRestored(n)
+		} else {
+			t.put(n.name, n.endpoint, n.position)
+		}
 	}
 	for name, recorded := range t.entries {
 		if !present[name] && !recorded.position.After(p) {
@@ -135,6 +158,7 @@
 	}
 	t.advance(p)
 	t.everRead = true
+	return t.held()
 }
 
 // MarkUnreachable records that the platform cannot be read.
@@ -159,33 +183,29 @@
 	return now.Sub(t.unreachableSince)
 }
 
-// startGrace lets missing entries count for missingGrace from now.
+// startGrace lets missing entries count for missingGrace from now. Held entries stay so at least as long, since their
+// removal may have been missed.
 func (t *Table) startGrace(now time.Time) {
 	t.graceSince = now
+	end := now.Add(missingGrace)
 	for _, e := range t.entries {
-		if e.removed {
-			e.countsUntil = now.Add(missingGrace)
+		if e.state == expiring || e.until.Before(end) {
+			e.until = end
 		}
 	}
 }
 
-// List returns the list in force, and when it will change without an update because a removed entry stops counting, zero
-// for never.
+// List returns the list in force, and when it will change without an update because the state of an entry ends, zero for
+// never.
 func (t *Table) List() (*hosts.List, time.Time, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := t.clock.Now()
-	var next time.Time
+	next := t.endStates()
 	newest := map[string]hosts.Endpoint{}
-	for name, e := range t.entries {
-		if e.removed && !t.unreachable && !now.Before(e.countsUntil) {
-			delete(t.entries, name)
-			t.localChanges++
+	for _, e := range t.entries {
+		if e.state == heldGone {
 			continue
 		}
-		if e.removed && !t.unreachable && (next.IsZero() || e.countsUntil.Before(next)) {
-			next = e.countsUntil
-		}
 		addr := e.endpoint.RPCAddr()
 		if other, taken := newest[addr]; !taken || other.Started().Before(e.endpoint.Started()) {
 			newest[addr] = e.endpoint
@@ -202,6 +222,32 @@
 	return list, next, nil
 }
 
+// endStates ends the states of entries whose time is over, and returns when the next one ends, zero for never. While the
+// platform is unreachable no state ends.
+func (t *Table) endStates() time.Time {
+	var next time.Time
+	if t.unreachable {
+		return next
+	}
+	now := t.clock.Now()
+	for name, e := range t.entries {
+		switch {
+		case e.state == published:
+		case now.Before(e.until):
+			if next.IsZero() || e.until.Before(next) {
+				next = e.until
+			}
+		case e.state == expiring:
+			t.bury(name, e)
+			t.localChanges++
+		default:
+			e.state, e.endpoint = published, e.outdated
+			t.localChanges++
+		}
+	}
+	return next
+}
+
 // EverRead reports whether all entries have been read at least once.
 func (t *Table) EverRead() bool {
 	t.mu.Lock()
