Let a second reading not end an entry's grace period

What callers would see: after an outage or a restoration an endpoint whose entry lapsed leaves the list after one second instead of 2.2 s, before its next heartbeat has brought the entry back, if the platform is read once more in between (a check that found missed changes, or a dropped history). Cause: an entry that was still missing was removed as if on purpose, once the first second after the outage was over. Fix: an entry in its grace period stays until that ends. Removals of listed entries on purpose take effect at once, as before. TestReadingAgainDoesNotEndGracePeriod fails before (0 of 1 endpoints listed) and passes after.

--- a/lib/roster/roster.go
+++ b/lib/roster/roster.go
@@ -104,9 +104,10 @@
 
 func (t *Table) remove(name string, e *entry) {
 	switch {
+	case e.state == expiring: // it counts until its grace period ends
 	case !t.mayHaveExpired() || e.state == heldGone || e.endpoint.Leaving():
 		t.bury(name, e)
-	case e.state != expiring:
+	default:
 		e.state, e.until = expiring, t.graceSince.Add(missingGrace)
 	}
 }
--- a/lib/roster/roster_test.go
+++ b/lib/roster/roster_test.go
@@ -115,6 +115,23 @@
 	is.Equal(listed(t, table), map[string]string{"10.0.0.1": "desk"})
 }
 
+// TestReadingAgainDoesNotEndGracePeriod guards against an endpoint that is dropped early because the platform is read twice
+// after an outage.
+func TestReadingAgainDoesNotEndGracePeriod(t *testing.T) {
+	is := is.New(t)
+	c := clock.NewManual(start)
+	table := roster.NewTable(c)
+	table.Put("a", endpoint("desk", "10.0.0.1", start), at(7))
+	table.MarkUnreachable()
+	table.MarkReachable()
+	table.Replace(nil, at(8))
+	c.Advance(1500 * time.Millisecond)
+	table.Replace(nil, at(9))
+	is.Equal(len(listed(t, table)), 1)
+	c.Advance(time.Second)
+	is.Equal(len(listed(t, table)), 0)
+}
+
 // TestNoChangeIsDueDuringOutage guards against a watch that never sleeps: an entry in its grace period when the next outage
 // begins does not expire before the platform is reachable again.
 func TestNoChangeIsDueDuringOutage(t *testing.T) {
