Play random histories of the roster with restorations

Backend servers start, drain, leave, crash and fall silent while the platform is restored from any earlier state; the table reads and hears of it late. Five changes of the code (a hold of 2 s, < for <=, no grace at a restoration, no way back from the grace period, no comparison) each make the test fail.

--- a/lib/roster/restore_test.go
+++ b/lib/roster/restore_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"tamarackrudder.org/lib/clock"
 	"tamarackrudder.org/lib/hosts"
@@ -126,3 +127,44 @@
 	_, err = roster.NewPosition(1<<16, 1)
 	is.True(err != nil)
 }
+
+// TestHistoriesWithRestorations plays random histories of backend servers and of a platform that is restored from backups.
+// A server that is leaving or gone must not be listed as live again, and the list must be complete some time later.
+func TestHistoriesWithRestorations(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld()
+		names := rapid.SampledFrom([]string{"1", "2", "3"})
+		// onAlive returns an action on a server that is alive.
+		onAlive := func(act func(name string, s *server)) func(*rapid.T) {
+			return func(t *rapid.T) {
+				name := names.Draw(t, "name")
+				if s := w.servers[name]; s != nil && s.alive {
+					act(name, s)
+				}
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"start": func(t *rapid.T) { w.start(names.Draw(t, "name")) },
+			"drain": onAlive(func(name string, s *server) {
+				s.endpoint = s.endpoint.WithLeaving()
+				w.beat(name)
+			}),
+			"leave": onAlive(func(name string, s *server) {
+				s.alive = false
+				if _, ok := w.entries[name]; ok {
+					w.changed(change{name: name})
+				}
+			}),
+			"crash":   onAlive(func(_ string, s *server) { s.alive = false }),
+			"mute":    onAlive(func(_ string, s *server) { s.muted, s.silenced = !s.muted, true }),
+			"tick":    func(*rapid.T) { w.tick() },
+			"wait":    func(*rapid.T) { w.wait() },
+			"read":    func(*rapid.T) { w.read() },
+			"deliver": func(*rapid.T) { w.deliver() },
+			"restore": func(t *rapid.T) { w.restore(rapid.Uint64Range(0, uint64(len(w.backups)-1)).Draw(t, "revision")) },
+			"settle":  w.settle,
+			"":        w.check,
+		})
+		w.settle(t)
+	})
+}
