Hold nodes to the leavings that they know when peers pass on a backup

What callers would see: requests go to a draining endpoint for up to one heartbeat more, after a node that started while the store was being restored, or had not heard of the drain, read the backup and passed its list on. Cause: the list with the newest position wins among nodes, and after a restoration that may be one made by a node that knows less. Fix: a node that puts a list into force keeps endpoints as leaving that it has in force as leaving, until they have written an entry since (same instance and start, more heartbeats). Lists carry the count of heartbeats for that. Ruled out: giving such lists a lower rank, since a node that has just started cannot know that the store was restored.

--- a/lib/hosts/hosts.go
+++ b/lib/hosts/hosts.go
@@ -84,6 +84,14 @@
 // zero where it is not known.
 func (e Endpoint) Heartbeats() int64 { return e.heartbeats }
 
+// IsOutdated reports whether the entry was written before what is known of the endpoint, or is the same entry.
+func (e Endpoint) IsOutdated(known Endpoint) bool {
+	if !e.started.Equal(known.started) {
+		return e.started.Before(known.started)
+	}
+	return e.heartbeats <= known.heartbeats
+}
+
 // Leaving reports whether the platform lists the endpoint as leaving.
 func (e Endpoint) Leaving() bool { return e.leaving }
 
@@ -102,18 +110,25 @@
 	if len(endpoints) > MaxEndpoints {
 		return nil, fmt.Errorf("%w: %d endpoints, at most %d are allowed", errInvalidList, len(endpoints), MaxEndpoints)
 	}
-	l := &List{version: version, endpoints: slices.Clone(endpoints), members: map[string][]Endpoint{}}
-	slices.SortFunc(l.endpoints, func(a, b Endpoint) int { return strings.Compare(a.rpcAddr, b.rpcAddr) })
-	for i, e := range l.endpoints {
+	sorted := slices.SortedFunc(slices.Values(endpoints), func(a, b Endpoint) int { return strings.Compare(a.rpcAddr, b.rpcAddr) })
+	for i, e := range sorted {
 		if err := e.validate(); err != nil {
 			return nil, err
 		}
-		if i > 0 && l.endpoints[i-1].rpcAddr == e.rpcAddr {
+		if i > 0 && sorted[i-1].rpcAddr == e.rpcAddr {
 			return nil, fmt.Errorf("%w: address %s is listed twice", errInvalidList, e.rpcAddr)
 		}
+	}
+	return newList(version, sorted), nil
+}
+
+// newList returns the list of valid endpoints that are sorted by RPC address.
+func newList(version uint64, endpoints []Endpoint) *List {
+	l := &List{version: version, endpoints: endpoints, members: map[string][]Endpoint{}}
+	for _, e := range endpoints {
 		l.members[e.service] = append(l.members[e.service], e)
 	}
-	return l, nil
+	return l
 }
 
 func (e Endpoint) validate() error {
@@ -139,6 +154,22 @@
 // Services returns the number of services that have endpoints.
 func (l *List) Services() int { return len(l.members) }
 
+// KeepLeaving returns the list with those endpoints as leaving that an earlier list shows as leaving and that have written
+// no entry since. The earlier list may be nil.
+func (l *List) KeepLeaving(earlier *List) *List {
+	if earlier == nil {
+		return l
+	}
+	endpoints := slices.Clone(l.endpoints)
+	for i, e := range endpoints {
+		known, ok := earlier.Find(e.rpcAddr)
+		if ok && known.leaving && e.instance != "" && e.instance == known.instance && e.IsOutdated(known) {
+			endpoints[i] = known
+		}
+	}
+	return newList(l.version, endpoints)
+}
+
 // Find returns the endpoint with the given RPC address.
 func (l *List) Find(rpcAddr string) (Endpoint, bool) {
 	i, ok := slices.BinarySearchFunc(l.endpoints, rpcAddr, func(e Endpoint, addr string) int {
--- a/lib/node/node.go
+++ b/lib/node/node.go
@@ -186,6 +186,7 @@
 	if err != nil {
 		return
 	}
+	list = list.KeepLeaving(n.hosts.Load())
 	n.hosts.Store(list)
 	n.origin.SetServices(list.Services())
 	if n.settings.untraced {
--- a/lib/plat/plat.go
+++ b/lib/plat/plat.go
@@ -119,6 +119,8 @@
 	Slots    int    `json:"slots,omitempty"`
 	Started  int64  `json:"started,omitempty"`
 	WarmAt   int64  `json:"warmAt,omitempty"`
+	// Heartbeats counts the heartbeats of the backend server from its start until it wrote the entry.
+	Heartbeats int64 `json:"heartbeats,omitempty"`
 }
 
 const (
@@ -152,7 +154,8 @@
 func (w endpointWire) endpoint() hosts.Endpoint {
 	e := hosts.NewEndpoint(w.Service, w.Host, w.Zone, w.RPCAddr, w.State == stateLeaving).WithSlots(w.Slots)
 	if w.Instance != "" {
-		e = e.WithInstance(w.Instance, time.UnixMilli(w.Started)).WithWarmAt(time.UnixMilli(w.WarmAt))
+		e = e.WithInstance(w.Instance, time.UnixMilli(w.Started)).WithWarmAt(time.UnixMilli(w.WarmAt)).
+			WithHeartbeats(w.Heartbeats)
 	}
 	return e
 }
@@ -166,6 +169,7 @@
 	}
 	if e.Instance() != "" {
 		w.Instance, w.Started, w.WarmAt = e.Instance(), e.Started().UnixMilli(), e.WarmAt().UnixMilli()
+		w.Heartbeats = e.Heartbeats()
 	}
 	return w
 }
--- a/lib/roster/restore.go
+++ b/lib/roster/restore.go
@@ -28,7 +28,7 @@
 	if e == nil {
 		e = t.unbury(n.name)
 	}
-	if e == nil || !n.isOlderThan(e.endpoint) {
+	if e == nil || !n.endpoint.IsOutdated(e.endpoint) {
 		t.entries[n.name] = &entry{endpoint: n.endpoint, position: n.position}
 		return
 	}
@@ -56,15 +56,6 @@
 	return names
 }
 
-// isOlderThan reports whether the entry was written before what is known of its endpoint, or is the same. Of two epochs only
-// the heartbeats since the endpoint's start are comparable.
-func (n NamedEntry) isOlderThan(known hosts.Endpoint) bool {
-	if !n.endpoint.Started().Equal(known.Started()) {
-		return n.endpoint.Started().Before(known.Started())
-	}
-	return n.endpoint.Heartbeats() <= known.Heartbeats()
-}
-
 // bury removes an entry for good.
 func (t *Table) bury(name string, e *entry) {
 	now := t.clock.Now()
