--- a/lib/roster/restore_test.go
+++ b/lib/roster/restore_test.go
@@ -88,6 +88,24 @@
 	}
 }
 
+// TestReusedAddressStaysWithItsNewEndpoint guards against an endpoint that a backup brings back at an address that another
+// service has now.
+func TestReusedAddressStaysWithItsNewEndpoint(t *testing.T) {
+	is := is.New(t)
+	c := clock.NewManual(start)
+	table := roster.NewTable(c)
+	table.Replace(named(beating(1), atEpoch(1, 5)), atEpoch(1, 5))
+	table.Remove("a", atEpoch(1, 6))
+	successor := endpoint("shop", "10.0.0.1", start.Add(time.Second)).WithHeartbeats(1)
+	table.Put("b", successor, atEpoch(1, 7))
+	table.Replace(named(beating(1), atEpoch(2, 5)), atEpoch(2, 5))
+	is.Equal(listed(t, table), map[string]string{"10.0.0.1": "shop"})
+	c.Advance(heartbeatInterval)
+	table.Put("b", successor.WithHeartbeats(9), atEpoch(2, 6))
+	c.Advance(time.Minute)
+	is.Equal(listed(t, table), map[string]string{"10.0.0.1": "shop"})
+}
+
 // TestNextChangeAfterRestoration checks that the list names the time at which an outdated entry begins to count.
 func TestNextChangeAfterRestoration(t *testing.T) {
 	is := is.New(t)
