Limit the head of a backend server's answer to 32 KB

What callers would see: a backend server in trouble that sends a status line or header fields without end fills the memory of its node, which is killed at 284 MB with all requests that it holds.

Cause: conns gave http.ReadResponse a reader without a limit, and that gathers a head of any length. Bodies had a limit, heads had none.

These cases of the table passed before as well: endless interim responses and empty answers to another request (4 are read), chunk extensions, chunk sizes and trailers (limited by net/http), the three kinds of body, and all of TestSlowEndlessAnswerEndsAtTheDeadline.

Change: a limited reader lies between the connection and its buffer, and each head may take 32 KB of it; with at most 4 responses for a request the heads of an exchange end at 128 KB.

--- a/lib/back/back_test.go
+++ b/lib/back/back_test.go
@@ -97,6 +97,38 @@
 	}
 }
 
+// TestEndlessAnswerMayHaveRun guards against reading on while a backend server sends without end, which would fill the
+// memory of the node.
+func TestEndlessAnswerMayHaveRun(t *testing.T) {
+	const (
+		sentAtMost = 32 << 20 // bytes, so that the test ends
+		timeout    = 10 * time.Second
+	)
+	tests := []struct {
+		name   string
+		start  string
+		want   verd.Verdict
+		broken bool
+	}{
+		{"no head", "", verd.MayHaveRun(verd.ReasonAnswerLost), true},
+		{"header field", "HTTP/1.1 200 OK\r\nX-Long: ", verd.MayHaveRun(verd.ReasonAnswerLost), true},
+		{"body", "HTTP/1.1 200 OK\r\n\r\n", verd.MayHaveRun(verd.ReasonAnswerTooLarge), false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			addr, requests := startRawServer(t, test.start+strings.Repeat("x", sentAtMost), false)
+			ctx, cancel := context.WithTimeout(t.Context(), timeout)
+			defer cancel()
+			a, broken := back.New(addr, 4, back.NativeDialect()).Run(ctx, request(t, "POST", ""), "token", 0)
+			is.Equal(a.Verdict(), test.want)
+			is.Equal(broken, test.broken)
+			is.Equal(len(a.Body()), 0)
+			is.Equal(requests.Load(), int64(1))
+		})
+	}
+}
+
 func request(t *testing.T, method, body string) call.Request {
 	t.Helper()
 	return call.NewRequest("id", method, "/x", "").WithBody([]byte(body)).WithKey("key").
--- a/lib/conns/conns_test.go
+++ b/lib/conns/conns_test.go
@@ -63,7 +63,7 @@
 	if body != "" {
 		r.Body = io.NopCloser(strings.NewReader(body))
 	}
-	return conns.NewExchange(r, func(h http.Header) bool { return h.Get(headerID) == id }, 1<<20)
+	return conns.NewExchange(r, func(h http.Header) bool { return h.Get(headerID) == id }, maxBody)
 }
 
 func completeAnswer(id, body string) string {
--- /dev/null
+++ b/lib/conns/endless_test.go
@@ -0,0 +1,178 @@
+package conns_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tamarackrudder.org/lib/conns"
+)
+
+const (
+	// maxHead is the limit for the head of one response, and maxBody that of the test's exchanges for a body, in bytes.
+	maxHead = 32 << 10
+	maxBody = 1 << 20
+	// maxResponses is how many responses an exchange reads for one request.
+	maxResponses = 4
+	// sentAtMost bounds in bytes what a server sends if the exchange does not end, so that the test ends.
+	sentAtMost = 64 << 20
+	// selfEndTimeout is how long an exchange that must end by itself may take.
+	selfEndTimeout = 30 * time.Second
+)
+
+// countedConn counts the bytes that are read from a connection.
+type countedConn struct {
+	*net.TCPConn
+	received *atomic.Int64
+}
+
+func (c countedConn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	c.received.Add(int64(n))
+	return n, err
+}
+
+// dialCounted returns a dial function, and the number of bytes that were read from all its connections.
+func dialCounted() (conns.Dial, *atomic.Int64) {
+	received := &atomic.Int64{}
+	return func(ctx context.Context, addr string) (net.Conn, error) {
+		c, err := conns.DialTCP(ctx, addr)
+		if err != nil {
+			return nil, err
+		}
+		return countedConn{TCPConn: c.(*net.TCPConn), received: received}, nil
+	}, received
+}
+
+// sendEndlessly repeats a text until the other side closes the connection, and reports whether it has.
+func sendEndlessly(conn net.Conn, text string) bool {
+	block := strings.Repeat(text, 1+(16<<10)/len(text))
+	for sent := 0; sent < sentAtMost; {
+		n, err := io.WriteString(conn, block)
+		if err != nil {
+			return true
+		}
+		sent += n
+	}
+	return false
+}
+
+// TestEndlessAnswerEndsTheExchange has a server send bytes without end: the exchange must end by itself, close the
+// connection, and report that the request may have run.
+func TestEndlessAnswerEndsTheExchange(t *testing.T) {
+	const (
+		own      = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n"
+		other    = "HTTP/1.1 200 OK\r\nX-Id: 0\r\n"
+		chunked  = "Transfer-Encoding: chunked\r\n\r\n"
+		interim  = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+		overhead = 64 << 10 // of chunk sizes and reading ahead, in bytes
+	)
+	chunk := "400\r\n" + strings.Repeat("x", 0x400) + "\r\n"
+	tests := []struct {
+		name     string
+		start    string
+		repeated string
+		received int64
+		err      error
+	}{
+		{"bytes without a line end", "", "\x00\x01\x02", maxHead, conns.ErrLost},
+		{"status line", "HTTP/1.1 200 ", "OK ", maxHead, conns.ErrLost},
+		{"value of a header field", own + "X-Long: ", "value", maxHead, conns.ErrLost},
+		{"header fields", own, "X-Field: value\r\n", maxHead, conns.ErrLost},
+		{"header fields after an interim response", interim + own, "X-Field: value\r\n", 2 * maxHead, conns.ErrLost},
+		{"header fields after an answer to another request", other + "Content-Length: 1\r\n\r\nx" + own, "X-Field: value\r\n", 2 * maxHead, conns.ErrLost},
+		{"interim responses", "", interim, maxResponses * maxHead, conns.ErrLost},
+		{"header fields of an interim response", "HTTP/1.1 103 Early Hints\r\n", "X-Field: value\r\n", maxHead, conns.ErrLost},
+		{"empty answers to another request", "", other + "Content-Length: 0\r\n\r\n", maxResponses * maxHead, conns.ErrLost},
+		{"chunk extension", own + chunked + "1;a=", "value", maxHead, conns.ErrLost},
+		{"chunk extensions", own + chunked, "1;a=" + strings.Repeat("value", 100) + "\r\nx\r\n", maxHead, conns.ErrLost},
+		{"chunk size", own + chunked, "0", maxHead, conns.ErrLost},
+		{"trailer field's value", own + chunked + "1\r\nx\r\n0\r\nX-Long: ", "value", maxHead, conns.ErrLost},
+		{"trailer fields", own + chunked + "1\r\nx\r\n0\r\n", "X-Field: value\r\n", maxHead, conns.ErrLost},
+		{"body without length", own + "\r\n", "body", maxBody + overhead, conns.ErrTooLarge},
+		{"body with a length", own + "Content-Length: 1000000000000\r\n\r\n", "body", maxBody + overhead, conns.ErrTooLarge},
+		{"chunked body", own + chunked, chunk, maxBody + overhead, conns.ErrTooLarge},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			closed := make(chan bool, 2)
+			addr, opened := server(t, func(conn *net.TCPConn, next func() *http.Request) {
+				if r := next(); r == nil || r.Header.Get(headerID) != "1" {
+					return
+				}
+				_, _ = io.WriteString(conn, test.start)
+				closed <- sendEndlessly(conn, test.repeated)
+			})
+			dial, received := dialCounted()
+			p := conns.NewPool(addr, 1, dial)
+			ctx, cancel := context.WithTimeout(t.Context(), selfEndTimeout)
+			defer cancel()
+			reply, err := p.Do(ctx, exchange(addr, "1", ""))
+			t.Logf("%d bytes were received, the limit is %d: %v", received.Load(), test.received, err)
+			is.True(received.Load() <= test.received) // bytes received
+			is.True(errors.Is(err, test.err))
+			is.True(!errors.Is(err, conns.ErrUnsent))
+			is.NoErr(ctx.Err()) // the exchange ended by itself
+			is.Equal(reply.Status(), 0)
+			is.Equal(len(reply.Body()), 0)
+			is.True(<-closed) // the server's connection was closed
+			_, _ = p.Do(ctx, exchange(addr, "2", ""))
+			is.Equal(opened.Load(), int64(2)) // the connection is not reused
+		})
+	}
+}
+
+// TestSlowEndlessAnswerEndsAtTheDeadline has a server send single bytes without end, which reach no limit in time.
+func TestSlowEndlessAnswerEndsAtTheDeadline(t *testing.T) {
+	const (
+		timeout = 200 * time.Millisecond
+		pause   = 20 * time.Millisecond
+		allowed = 5 * time.Second // for a busy machine
+	)
+	tests := []struct {
+		name  string
+		start string
+	}{
+		{"status line", "HTTP/1.1 200 O"},
+		{"header fields", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Long: "},
+		{"body without length", "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n"},
+		{"body of an answer to another request", "HTTP/1.1 200 OK\r\nX-Id: 0\r\n\r\n"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			closed := make(chan struct{})
+			addr, _ := server(t, func(conn *net.TCPConn, next func() *http.Request) {
+				next()
+				_, err := io.WriteString(conn, test.start)
+				for err == nil {
+					time.Sleep(pause)
+					_, err = io.WriteString(conn, "x")
+				}
+				close(closed)
+			})
+			p := conns.NewPool(addr, 1, conns.DialTCP)
+			ctx, cancel := context.WithTimeout(t.Context(), timeout)
+			defer cancel()
+			start := time.Now()
+			_, err := p.Do(ctx, exchange(addr, "1", ""))
+			is.True(errors.Is(err, conns.ErrLost))
+			is.True(time.Since(start) >= timeout)
+			is.True(time.Since(start) < timeout+allowed)
+			select {
+			case <-closed:
+			case <-time.After(allowed):
+				t.Fatal("the server's connection is still open")
+			}
+		})
+	}
+}
--- a/lib/conns/exchange.go
+++ b/lib/conns/exchange.go
@@ -13,6 +13,8 @@
 	// maxInlineBody is the largest body, in bytes, that is written before the answer is read; longer ones are written
 	// concurrently.
 	maxInlineBody = 2 << 10
+	// maxHead is the largest accepted head of a response, status line and header fields, in bytes.
+	maxHead = 32 << 10
 	// maxResponses bounds the responses that are read for one request, including late answers to earlier requests.
 	maxResponses = 4
 )
@@ -116,7 +118,7 @@
 // requests.
 func (c *conn) receive(e Exchange) (Reply, time.Duration, error) {
 	for range maxResponses {
-		response, err := http.ReadResponse(c.in, e.request)
+		response, err := c.readHead(e.request)
 		if err != nil {
 			return Reply{}, 0, fmt.Errorf("%w: %w", ErrLost, err)
 		}
@@ -141,3 +143,10 @@
 	}
 	return Reply{}, 0, fmt.Errorf("%w: received only interim responses and answers to other requests", ErrLost)
 }
+
+// readHead reads the head of the next response; its body is not read yet.
+func (c *conn) readHead(r *http.Request) (*http.Response, error) {
+	c.source.limit(maxHead)
+	defer c.source.unlimit()
+	return http.ReadResponse(c.in, r)
+}
--- a/lib/conns/pool.go
+++ b/lib/conns/pool.go
@@ -52,6 +52,7 @@
 // conn is one connection; between exchanges it is idle in the pool.
 type conn struct {
 	net.Conn
+	source  *limitedReader // what in reads from
 	in      *bufio.Reader
 	out     *bufio.Writer
 	expires time.Time
@@ -111,7 +112,15 @@
 		p.connClosed()
 		return nil, fmt.Errorf("%w: %w", ErrUnsent, err)
 	}
-	return &conn{Conn: raw, in: bufio.NewReaderSize(raw, bufferSize), out: bufio.NewWriterSize(raw, bufferSize)}, nil
+	return newConn(raw), nil
+}
+
+func newConn(raw net.Conn) *conn {
+	source := &limitedReader{r: raw}
+	return &conn{
+		Conn: raw, source: source,
+		in: bufio.NewReaderSize(source, bufferSize), out: bufio.NewWriterSize(raw, bufferSize),
+	}
 }
 
 func (p *Pool) connClosed() {
