Skip the bodies of other requests' answers without keeping them

What callers would see: a backend server in trouble that sends, where their answer is due, a body without end under another id (or under none) fails their request as answerTooLarge. A node does not send an idempotent request again after answerTooLarge, though no answer to it was too large: it is lost, as with other bytes that are no answer.

Cause: conns read the whole body of each answer, as long as that of an own one, before it looked at the id.

Evidence, on the code before (limit of the exchange 1 MB):

body of an answer to another request: 1048605 bytes were received: answer body exceeds the size limit; want ErrLost chunked body of an answer to another request: 1056536, the same long bodies of answers to another request: 4000212 bytes were received, the limit is 1114112

Change: the id is looked at first. Bodies of other answers are dropped as they come, and all of them together may be as long as one answer; then the exchange ends with ErrLost. A late answer is still skipped.

After: 1048605, 1057608 and 1049205 bytes received, all ErrLost.

--- a/lib/conns/endless_test.go
+++ b/lib/conns/endless_test.go
@@ -99,6 +99,12 @@
 		{"trailer fields", own + chunked + "1\r\nx\r\n0\r\n", "X-Field: value\r\n", maxHead, conns.ErrLost},
 		{"body without length", own + "\r\n", "body", maxBody + overhead, conns.ErrTooLarge},
 		{"body with a length", own + "Content-Length: 1000000000000\r\n\r\n", "body", maxBody + overhead, conns.ErrTooLarge},
+		{"body of an answer to another request", other + "\r\n", "body", maxBody + overhead, conns.ErrLost},
+		{"chunked body of an answer to another request", other + chunked, chunk, maxBody + overhead, conns.ErrLost},
+		{
+			"long bodies of answers to another request", "", other + "Content-Length: 1000000\r\n\r\n" + strings.Repeat("x", 1000000),
+			maxBody + overhead, conns.ErrLost,
+		},
 		{"chunked body", own + chunked, chunk, maxBody + overhead, conns.ErrTooLarge},
 	}
 	for _, test := range tests {
--- a/lib/conns/exchange.go
+++ b/lib/conns/exchange.go
@@ -115,8 +115,9 @@
 }
 
 // receive reads the answer that belongs to the request and skips interim responses and late answers to earlier
-// requests.
+// requests. The bodies of the latter together may take as much as that of the answer.
 func (c *conn) receive(e Exchange) (Reply, time.Duration, error) {
+	skippable := e.maxBody
 	for range maxResponses {
 		response, err := c.readHead(e.request)
 		if err != nil {
@@ -125,21 +126,17 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		body, err := io.ReadAll(io.LimitReader(response.Body, e.maxBody+1))
+		if e.matches(response.Header) {
+			return c.readAnswer(response, e.maxBody)
+		}
+		skipped, err := io.Copy(io.Discard, io.LimitReader(response.Body, skippable+1))
 		if err != nil {
 			return Reply{}, 0, fmt.Errorf("%w: %w", ErrLost, err)
 		}
-		if int64(len(body)) > e.maxBody {
-			return Reply{}, 0, ErrTooLarge
-		}
-		if !e.matches(response.Header) {
-			continue
-		}
-		idle := idleTime(response.Header.Get("Keep-Alive"))
-		if response.Close || c.in.Buffered() > 0 {
-			idle = 0
+		if skipped > skippable {
+			break
 		}
-		return Reply{status: response.StatusCode, header: response.Header, body: body}, idle, nil
+		skippable -= skipped
 	}
 	return Reply{}, 0, fmt.Errorf("%w: received only interim responses and answers to other requests", ErrLost)
 }
@@ -150,3 +147,19 @@
 	defer c.source.unlimit()
 	return http.ReadResponse(c.in, r)
 }
+
+// readAnswer reads the body of an answer, and also returns how long the connection may then stay idle in the pool.
+func (c *conn) readAnswer(response *http.Response, maxBody int64) (Reply, time.Duration, error) {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxBody+1))
+	if err != nil {
+		return Reply{}, 0, fmt.Errorf("%w: %w", ErrLost, err)
+	}
+	if int64(len(body)) > maxBody {
+		return Reply{}, 0, ErrTooLarge
+	}
+	idle := idleTime(response.Header.Get("Keep-Alive"))
+	if response.Close || c.in.Buffered() > 0 {
+		idle = 0
+	}
+	return Reply{status: response.StatusCode, header: response.Header, body: body}, idle, nil
+}
