Bound the memory of all answer bodies that a node reads at a time

What callers would see: a backend server in trouble that sends bodies without end to many requests at once gets the node killed for its memory (284 MB on the users' platform), with all requests that it holds.

Cause: each body was bounded (16 MB), their number was not: 187 slots may hold 3 GB.

Evidence, on the code before:

TestLongAnswersShareAMemoryLimit: 20 of 20 answers of 4194304 bytes are held

Change: the connections of a pool share 32 MB for the bodies that they are reading. A body that needs more than is left ends as one that is too large: may-have-run, its connection closed. The first 64 KB of each body do not count, so that short answers go on beside long ones.

What it costs: no more than two of the longest answers (16 MB) can be read at a time; before, some eight filled the memory.

--- a/lib/conns/conns_test.go
+++ b/lib/conns/conns_test.go
@@ -55,7 +55,10 @@
 	return l.Addr().String(), opened
 }
 
-func exchange(addr, id, body string) conns.Exchange {
+func exchange(addr, id, body string) conns.Exchange { return exchangeUpTo(addr, id, body, maxBody) }
+
+// exchangeUpTo returns an exchange that accepts an answer of at most maxBytes.
+func exchangeUpTo(addr, id, body string, maxBytes int64) conns.Exchange {
 	r := &http.Request{
 		Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: addr, Opaque: "/x"}, Header: http.Header{headerID: {id}},
 		ContentLength: int64(len(body)),
@@ -63,7 +66,7 @@
 	if body != "" {
 		r.Body = io.NopCloser(strings.NewReader(body))
 	}
-	return conns.NewExchange(r, func(h http.Header) bool { return h.Get(headerID) == id }, maxBody)
+	return conns.NewExchange(r, func(h http.Header) bool { return h.Get(headerID) == id }, maxBytes)
 }
 
 func completeAnswer(id, body string) string {
--- a/lib/conns/endless_test.go
+++ b/lib/conns/endless_test.go
@@ -182,3 +182,61 @@
 		})
 	}
 }
+
+// TestLongAnswersShareAMemoryLimit has many answers grow long at the same time, which must neither fill the memory nor
+// keep short ones from being read.
+func TestLongAnswersShareAMemoryLimit(t *testing.T) {
+	const (
+		exchanges    = 20
+		longBody     = 4 << 20  // bytes
+		maxHeld      = 32 << 20 // bytes
+		maxUnended   = maxHeld / longBody
+		limit        = 16 << 20 // bytes, of each exchange
+		endedTimeout = 20 * time.Second
+	)
+	is := is.New(t)
+	long := strings.Repeat("x", longBody)
+	addr, _ := server(t, func(conn *net.TCPConn, next func() *http.Request) {
+		for r := next(); r != nil; r = next() {
+			switch id := r.Header.Get(headerID); id {
+			case "unended":
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: unended\r\n\r\n"+long)
+			case "long":
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: long\r\nContent-Length: 4194304\r\n\r\n"+long)
+			default:
+				_, _ = io.WriteString(conn, completeAnswer(id, "short"))
+			}
+		}
+	})
+	p := conns.NewPool(addr, 2*exchanges, conns.DialTCP)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	ended := make(chan error, exchanges)
+	for range exchanges {
+		go func() {
+			_, err := p.Do(ctx, exchangeUpTo(addr, "unended", "", limit))
+			ended <- err
+		}()
+	}
+	for i := range exchanges - maxUnended {
+		select {
+		case err := <-ended:
+			is.True(errors.Is(err, conns.ErrTooLarge))
+		case <-time.After(endedTimeout):
+			t.Fatalf("%d of %d answers of %d bytes are held", exchanges-i, exchanges, longBody)
+		}
+	}
+	reply, err := p.Do(t.Context(), exchangeUpTo(addr, "1", "", limit))
+	is.NoErr(err)
+	is.Equal(string(reply.Body()), "short")
+
+	cancel()
+	for range maxUnended {
+		is.True(<-ended != nil)
+	}
+	for range maxUnended + 1 {
+		reply, err = p.Do(t.Context(), exchangeUpTo(addr, "long", "", limit))
+		is.NoErr(err)
+		is.Equal(len(reply.Body()), longBody)
+	}
+}
--- a/lib/conns/exchange.go
+++ b/lib/conns/exchange.go
@@ -150,11 +150,15 @@
 
 // readAnswer reads the body of an answer, and also returns how long the connection may then stay idle in the pool.
 func (c *conn) readAnswer(response *http.Response, maxBody int64) (Reply, time.Duration, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBody+1))
-	if err != nil {
+	source := &chargedReader{r: response.Body, budget: c.held, free: freeBytes}
+	defer source.giveBack()
+	body, err := io.ReadAll(io.LimitReader(source, maxBody+1))
+	switch {
+	case errors.Is(err, errHeldLimit):
+		return Reply{}, 0, fmt.Errorf("%w: %w", ErrTooLarge, err)
+	case err != nil:
 		return Reply{}, 0, fmt.Errorf("%w: %w", ErrLost, err)
-	}
-	if int64(len(body)) > maxBody {
+	case int64(len(body)) > maxBody:
 		return Reply{}, 0, ErrTooLarge
 	}
 	idle := idleTime(response.Header.Get("Keep-Alive"))
--- a/lib/conns/pool.go
+++ b/lib/conns/pool.go
@@ -32,7 +32,8 @@
 	ErrUnsent = errors.New("request was not sent")
 	// ErrLost means that the request was sent, at least in part, and no complete answer to it was received.
 	ErrLost = errors.New("no complete answer received")
-	// ErrTooLarge means that the body of the answer exceeds the limit of the exchange.
+	// ErrTooLarge means that the body of the answer exceeds the limit of the exchange, or what is left to it beside the
+	// answers that are being read.
 	ErrTooLarge = errors.New("answer body exceeds the size limit")
 	errPoolFull = errors.New("all connections of the pool are in use")
 )
@@ -55,6 +56,7 @@
 	source  *limitedReader // what in reads from
 	in      *bufio.Reader
 	out     *bufio.Writer
+	held    *budget // of the pool
 	expires time.Time
 }
 
@@ -63,6 +65,7 @@
 	addr     string
 	maxConns int
 	dial     Dial
+	held     *budget // for the bodies that are being read
 	mu       sync.Mutex
 	idle     []*conn // least recently used first
 	opened   int
@@ -70,7 +73,7 @@
 
 // NewPool returns a pool of at most maxConns connections to an IP address and port.
 func NewPool(addr string, maxConns int, dial Dial) *Pool {
-	return &Pool{addr: addr, maxConns: maxConns, dial: dial}
+	return &Pool{addr: addr, maxConns: maxConns, dial: dial, held: newBudget(maxHeldBytes)}
 }
 
 // acquire returns an idle connection that is usable, or opens one.
@@ -112,13 +115,13 @@
 		p.connClosed()
 		return nil, fmt.Errorf("%w: %w", ErrUnsent, err)
 	}
-	return newConn(raw), nil
+	return newConn(raw, p.held), nil
 }
 
-func newConn(raw net.Conn) *conn {
+func newConn(raw net.Conn, held *budget) *conn {
 	source := &limitedReader{r: raw}
 	return &conn{
-		Conn: raw, source: source,
+		Conn: raw, source: source, held: held,
 		in: bufio.NewReaderSize(source, bufferSize), out: bufio.NewWriterSize(raw, bufferSize),
 	}
 }
