--- a/lib/front/front_test.go
+++ b/lib/front/front_test.go
@@ -133,6 +133,7 @@
 	is := is.New(t)
 	is.Equal(front.Status(verd.NotRun(verd.ReasonQueueFull)), http.StatusServiceUnavailable)
 	is.Equal(front.Status(verd.MayHaveRun(verd.ReasonAnswerLost)), http.StatusGatewayTimeout)
+	is.Equal(front.Status(verd.MayHaveRun(verd.ReasonAnswerTooLarge)), http.StatusGatewayTimeout)
 	is.True(strings.HasPrefix(front.Text(verd.NotRun(verd.ReasonQueueFull)), "not run: "))
 	is.True(strings.HasPrefix(front.Text(verd.MayHaveRun(verd.ReasonAnswerLost)), "may have run: "))
 }
