Close an idle connection when its time is over

What callers would see: nothing at once. A backend server in trouble that sends without end on idle connections leaves unread bytes in the node, which count towards its memory. It goes on until the node closes the connection, which an idle node did not do.

Cause: the pool closed connections whose idle time was over only when another request gave its connection back. Without a request they stayed open, and with them a place in the backend server's max_connections.

Evidence, TestIdleConnectionEndsWithItsTime on the code before:

endless_test.go:268: the server's connection is still open --- FAIL: TestIdleConnectionEndsWithItsTime (5.50s)

Change: each idle connection has a timer, in place of the search on release. It closes the connection after the server's Keep-Alive time less the margin, or after five seconds, as before.

After: the test passes in three runs with the race detector. Its first form failed on the new code as well ("all connections of the pool are in use"): the server sees the end of a connection just before the pool counts it, and the pool had one place. It has two now.

--- a/lib/conns/endless_test.go
+++ b/lib/conns/endless_test.go
@@ -240,3 +240,34 @@
 		is.Equal(len(reply.Body()), longBody)
 	}
 }
+
+// TestIdleConnectionEndsWithItsTime has a server send without end on an idle connection, for which no request comes.
+func TestIdleConnectionEndsWithItsTime(t *testing.T) {
+	const (
+		idle    = 500 * time.Millisecond // from a Keep-Alive timeout of one second
+		allowed = 5 * time.Second        // for a busy machine
+	)
+	is := is.New(t)
+	closed := make(chan bool, 1)
+	addr, opened := server(t, func(conn *net.TCPConn, next func() *http.Request) {
+		r := next()
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: "+r.Header.Get(headerID)+
+			"\r\nKeep-Alive: timeout=1\r\nContent-Length: 0\r\n\r\n")
+		time.Sleep(idle / 10)
+		closed <- sendEndlessly(conn, "x")
+	})
+	dial, received := dialCounted()
+	p := conns.NewPool(addr, 2, dial)
+	for _, id := range []string{"1", "2"} {
+		_, err := p.Do(t.Context(), exchange(addr, id, ""))
+		is.NoErr(err)
+		select {
+		case isClosed := <-closed:
+			is.True(isClosed)
+		case <-time.After(idle + allowed):
+			t.Fatal("the server's connection is still open")
+		}
+	}
+	is.Equal(opened.Load(), int64(2))
+	is.True(received.Load() < maxHead) // nothing of it was read
+}
--- a/lib/conns/pool.go
+++ b/lib/conns/pool.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -56,8 +57,9 @@
 	source  *limitedReader // what in reads from
 	in      *bufio.Reader
 	out     *bufio.Writer
-	held    *budget // of the pool
-	expires time.Time
+	held    *budget     // of the pool
+	expires time.Time   // from here on it is not reused
+	expiry  *time.Timer // closes it then
 }
 
 // Pool holds the connections to one server.
@@ -99,6 +101,7 @@
 	}
 	c := p.idle[last]
 	p.idle = p.idle[:last]
+	c.expiry.Stop()
 	return c
 }
 
@@ -137,20 +140,26 @@
 	p.connClosed()
 }
 
-// release returns a connection to the pool for the idle time, and closes the connections whose idle time is over.
+// release returns a connection to the pool, which closes it when the idle time is over.
 func (p *Pool) release(c *conn, idle time.Duration) {
-	now := time.Now()
-	c.expires = now.Add(idle)
 	p.mu.Lock()
-	var expired []*conn
-	for len(p.idle) > 0 && now.After(p.idle[0].expires) {
-		expired = append(expired, p.idle[0])
-		p.idle = p.idle[1:]
-	}
+	defer p.mu.Unlock()
+	c.expires = time.Now().Add(idle)
+	c.expiry = time.AfterFunc(idle, func() { p.expire(c) })
 	p.idle = append(p.idle, c)
+}
+
+// expire closes a connection if it is idle and its time is over; it may have been used since its timer fired.
+func (p *Pool) expire(c *conn) {
+	p.mu.Lock()
+	i := slices.Index(p.idle, c)
+	expired := i >= 0 && !time.Now().Before(c.expires)
+	if expired {
+		p.idle = slices.Delete(p.idle, i, i+1)
+	}
 	p.mu.Unlock()
-	for _, o := range expired {
-		p.discard(o)
+	if expired {
+		p.discard(c)
 	}
 }
 
