Keep the list of per-hop header fields in one place

Requests and answers had a list and a loop each. The one for answers lacked Proxy-Connection and Te, which apply to one connection as well. Now package call has both; what only a request has stays in front.

--- a/lib/back/back.go
+++ b/lib/back/back.go
@@ -96,7 +96,8 @@
 	if reason := c.dialect.RefusalReason(reply.Status(), reply.Header(), shedStatus); reason != verd.ReasonNone {
 		return call.Refusal(verd.NotRun(reason)).WithLoad(load), false
 	}
-	return call.NewAnswer(reply.Status(), answerFields(reply.Header()), reply.Body()).WithLoad(load), false
+	fields := call.EndToEndFields(reply.Header(), func(string) bool { return false })
+	return call.NewAnswer(reply.Status(), fields, reply.Body()).WithLoad(load), false
 }
 
 // newRequest returns the HTTP request for the backend server. Opaque keeps the path exactly as the caller escaped it.
@@ -140,21 +141,6 @@
 	return verd.ReasonCanceled
 }
 
-// answerFields returns the end-to-end header fields of a response.
-func answerFields(header http.Header) []call.Field {
-	var fields []call.Field
-	for name, values := range header {
-		switch name {
-		case "Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length", "Trailer", "Upgrade":
-			continue
-		}
-		for _, value := range values {
-			fields = append(fields, call.NewField(name, value))
-		}
-	}
-	return fields
-}
-
 // Cancel notifies the backend server, with a POST to its cancel path, that the request with the token has been canceled
 // and its answer will not be used.
 func (c *Client) Cancel(path, token string) {
--- a/lib/call/request.go
+++ b/lib/call/request.go
@@ -6,21 +6,6 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Field is one header field; a header with several values is held as several fields of the same name.
-type Field struct {
-	name  string
-	value string
-}
-
-// NewField returns a header field with one value.
-func NewField(name, value string) Field { return Field{name: name, value: value} }
-
-// Name returns the field's name in the canonical form of net/http, such as "Content-Type".
-func (f Field) Name() string { return f.name }
-
-// Value returns the one value of the field, unparsed.
-func (f Field) Value() string { return f.value }
-
 // Request is a request of a caller, or of a backend server that calls another service while it runs a request. The With
 // methods return a changed copy.
 type Request struct {
--- a/lib/front/front.go
+++ b/lib/front/front.go
@@ -133,27 +133,11 @@
 // EndToEndFields returns the end-to-end header fields of a request, which are passed on to the backend server, without those
 // for which omit returns true.
 func EndToEndFields(header http.Header, omit func(name string) bool) []call.Field {
-	var fields []call.Field
-	for name, values := range header {
-		if isPerHopField(name) || omit(name) {
-			continue
-		}
-		for _, value := range values {
-			fields = append(fields, call.NewField(name, value))
-		}
-	}
-	return fields
+	return call.EndToEndFields(header, func(name string) bool { return isForNode(name) || omit(name) })
 }
 
-// isPerHopField reports whether a field applies to one connection only or is set anew for each.
-func isPerHopField(name string) bool {
-	switch name {
-	case "Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-		"Content-Length", "Accept-Encoding", "Expect":
-		return true
-	}
-	return false
-}
+// isForNode reports whether a field of a request tells the node how to read the body or to write the answer.
+func isForNode(name string) bool { return name == "Accept-Encoding" || name == "Expect" }
 
 // WriteAnswer writes the response of a backend server, without the header fields for which omit returns true. It always
 // sets Content-Length, so that the caller can distinguish a truncated response from a complete one.
