Pass on no header field that Connection names

Cause: fixed names of such fields were left out, the names listed in Connection were not looked at.

Evidence, TestFieldsOfOneConnectionAreNotPassedOn on the code before:

back_test.go:139: [{X-Hop 1} {X-Other-Hop 1} {X-End 1}] != [{X-End 1}] front_test.go:83: [{X-Hop 1} {X-Other-Hop 1} {X-End 1}] != [{X-End 1}]

Change: call.EndToEndFields, which both directions use, leaves them out.

--- a/lib/back/back_test.go
+++ b/lib/back/back_test.go
@@ -129,6 +129,16 @@
 	}
 }
 
+// TestFieldsOfOneConnectionAreNotPassedOn guards against passing on a header field that the Connection field of the
+// response names (RFC 9110, section 7.6.1).
+func TestFieldsOfOneConnectionAreNotPassedOn(t *testing.T) {
+	is := is.New(t)
+	addr, _ := startRawServer(t, "HTTP/1.1 200 OK\r\nConnection: x-hop, keep-alive\r\nConnection: X-Other-Hop\r\n"+
+		"X-Hop: 1\r\nX-Other-Hop: 1\r\nX-End: 1\r\nContent-Length: 0\r\n\r\n", false)
+	a, _ := back.New(addr, 1, back.NativeDialect()).Run(t.Context(), request(t, "GET", ""), "token", 0)
+	is.Equal(a.Fields(), []call.Field{call.NewField("X-End", "1")})
+}
+
 func request(t *testing.T, method, body string) call.Request {
 	t.Helper()
 	return call.NewRequest("id", method, "/x", "").WithBody([]byte(body)).WithKey("key").
--- a/lib/call/field.go
+++ b/lib/call/field.go
@@ -1,5 +1,7 @@
 package call
 
+import "strings"
+
 // Field is one header field; a header with several values is held as several fields of the same name.
 type Field struct {
 	name  string
@@ -15,12 +17,12 @@
 // Value returns the one value of the field, unparsed.
 func (f Field) Value() string { return f.value }
 
-// EndToEndFields returns the fields of a header without those that apply to one connection only, and without those for
-// which omit returns true.
+// EndToEndFields returns the fields of a header without those that apply to one connection only (RFC 9110, section
+// 7.6.1), and without those for which omit returns true.
 func EndToEndFields(header map[string][]string, omit func(name string) bool) []Field {
 	var fields []Field
 	for name, values := range header {
-		if isPerHop(name) || omit(name) {
+		if isPerHop(name) || isListed(header["Connection"], name) || omit(name) {
 			continue
 		}
 		for _, value := range values {
@@ -38,3 +40,15 @@
 	}
 	return false
 }
+
+// isListed reports whether one of the values, which are comma-separated lists, contains a name.
+func isListed(values []string, name string) bool {
+	for _, list := range values {
+		for element := range strings.SplitSeq(list, ",") {
+			if strings.EqualFold(strings.TrimSpace(element), name) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/lib/front/front_test.go
+++ b/lib/front/front_test.go
@@ -71,6 +71,18 @@
 	}
 }
 
+// TestFieldsOfOneConnectionAreNotPassedOn guards against passing on a header field that the Connection field of the
+// request names (RFC 9110, section 7.6.1).
+func TestFieldsOfOneConnectionAreNotPassedOn(t *testing.T) {
+	is := is.New(t)
+	header := http.Header{
+		"Connection": {"x-hop, keep-alive", "X-Other-Hop"}, "X-Hop": {"1"}, "X-Other-Hop": {"1"}, "X-End": {"1"}, "Te": {"trailers"},
+		"Expect": {"100-continue"}, "X-Omitted": {"1"},
+	}
+	fields := front.EndToEndFields(header, func(name string) bool { return name == "X-Omitted" })
+	is.Equal(fields, []call.Field{call.NewField("X-End", "1")})
+}
+
 func TestBodies(t *testing.T) {
 	is := is.New(t)
 	s := start(t, echo)
