--- a/lib/back/back_test.go
+++ b/lib/back/back_test.go
@@ -97,6 +97,48 @@
 	}
 }
 
+// TestEndlessAnswerMayHaveRun guards against reading on while a backend server sends without end, which would fill the
+// memory of the node.
+func TestEndlessAnswerMayHaveRun(t *testing.T) {
+	const (
+		sentAtMost = 32 << 20 // bytes, so that the test ends
+		timeout    = 10 * time.Second
+	)
+	tests := []struct {
+		name   string
+		start  string
+		want   verd.Verdict
+		broken bool
+	}{
+		{"no head", "", verd.MayHaveRun(verd.ReasonAnswerLost), true},
+		{"header field", "HTTP/1.1 200 OK\r\nX-Long: ", verd.MayHaveRun(verd.ReasonAnswerLost), true},
+		{"body", "HTTP/1.1 200 OK\r\n\r\n", verd.MayHaveRun(verd.ReasonAnswerTooLarge), false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			addr, requests := startRawServer(t, test.start+strings.Repeat("x", sentAtMost), false)
+			ctx, cancel := context.WithTimeout(t.Context(), timeout)
+			defer cancel()
+			a, broken := back.New(addr, 4, back.NativeDialect()).Run(ctx, request(t, "POST", ""), "token", 0)
+			is.Equal(a.Verdict(), test.want)
+			is.Equal(broken, test.broken)
+			is.Equal(len(a.Body()), 0)
+			is.Equal(requests.Load(), int64(1))
+		})
+	}
+}
+
+// TestFieldsOfOneConnectionAreNotPassedOn guards against passing on a header field that the Connection field of the
+// response names (RFC 9110, section 7.6.1).
+func TestFieldsOfOneConnectionAreNotPassedOn(t *testing.T) {
+	is := is.New(t)
+	addr, _ := startRawServer(t, "HTTP/1.1 200 OK\r\nConnection: x-hop, keep-alive\r\nConnection: X-Other-Hop\r\n"+
+		"X-Hop: 1\r\nX-Other-Hop: 1\r\nX-End: 1\r\nContent-Length: 0\r\n\r\n", false)
+	a, _ := back.New(addr, 1, back.NativeDialect()).Run(t.Context(), request(t, "GET", ""), "token", 0)
+	is.Equal(a.Fields(), []call.Field{call.NewField("X-End", "1")})
+}
+
 func request(t *testing.T, method, body string) call.Request {
 	t.Helper()
 	return call.NewRequest("id", method, "/x", "").WithBody([]byte(body)).WithKey("key").
