Count a stop from the beginning of a suspension that hid its signal

Cause: the time of a stop was counted from when the process notices the signal. Evidence: TestStopSignalDuringAFreezeCountsFromTheFreeze failed before; a late caller got an answer of its route. Change: clock.Stalls notices by the wall clock that the process has not run for half a second or more. A stop signal that arrives within 0.2 s after such a stall counts as sent at its beginning. What is left of the stop is half a second at least. Ruled out: the time at which the signal was sent (the kernel does not tell it); the monotonic clock (it may stand still while a host is suspended).

--- /dev/null
+++ b/lib/clock/stalls_test.go
@@ -0,0 +1,38 @@
+package clock_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tamarackrudder.org/lib/clock"
+)
+
+// TestStallDelay guards against a stop that counts its time from when a suspended process learns of it.
+func TestStallDelay(t *testing.T) {
+	tests := []struct {
+		name     string
+		advances []time.Duration
+		want     time.Duration
+	}{
+		{"no time", nil, 0},
+		{"between two checks", []time.Duration{150 * time.Millisecond}, 0},
+		{"right after a stall", []time.Duration{3 * time.Second}, 3 * time.Second},
+		{"shortly after a stall", []time.Duration{3 * time.Second, 50 * time.Millisecond}, 3050 * time.Millisecond},
+		{"long after a stall", []time.Duration{3 * time.Second, 400 * time.Millisecond}, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			c := clock.NewManual(time.Unix(1_800_000_000, 0))
+			s := clock.NewStalls(t.Context(), c)
+			delay := time.Duration(0)
+			for _, a := range test.advances {
+				c.Advance(a)
+				delay = s.Delay()
+			}
+			is.Equal(delay, test.want)
+		})
+	}
+}
--- a/tamarackbench/fleet/stop_test.go
+++ b/tamarackbench/fleet/stop_test.go
@@ -142,6 +142,28 @@
 	}
 }
 
+// TestStopSignalDuringAFreezeCountsFromTheFreeze guards against a node that takes requests until it is killed, since it was
+// frozen when the stop signal came.
+func TestStopSignalDuringAFreezeCountsFromTheFreeze(t *testing.T) {
+	is := is.New(t)
+	f := startSmall(t, "--stop-timeout", "3s", "--drain-delay", "1s")
+	node := f.EndpointsOf("shop")[0]
+	kept := dialNode(t, node)
+	is.Equal(kept.get("/items/1").status, http.StatusOK)
+	for _, e := range f.EndpointsOf("ledger") {
+		setSlow(t, e, 200) // a request that is sent on lasts for about a second
+	}
+	node.Node().Signal(syscall.SIGSTOP)
+	node.Node().Signal(syscall.SIGTERM)
+	time.Sleep(1500 * time.Millisecond)
+	node.Node().Signal(syscall.SIGCONT)
+	time.Sleep(500 * time.Millisecond)
+	sent := time.Now()
+	late := kept.get("/entries/2")
+	is.True(late.err != nil || late.verdict == string(verd.KindNotRun))
+	is.True(time.Since(sent) < 500*time.Millisecond)
+}
+
 // TestNodeOutlivesTheReaderOfItsLog guards against a node that ends, with its requests, when nobody reads its log any more.
 func TestNodeOutlivesTheReaderOfItsLog(t *testing.T) {
 	is := is.New(t)
--- a/tamarackd/wiring/platform.go
+++ b/tamarackd/wiring/platform.go
@@ -39,7 +39,7 @@
 		Usage: "run on the users' platform, with the settings file that it provides",
 		Flags: []cli.Flag{stringFlag(flagLevel, "debug, info, warn or error", "info")},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			received := catchSignals()
+			received := catchSignals(ctx)
 			platformSettings, err := platform.ReadSettings()
 			if err != nil {
 				return fmt.Errorf("%w: %w", ErrSettings, err)
@@ -61,7 +61,7 @@
 	}
 }
 
-func servePlatform(ctx context.Context, received signals, platformSettings platform.Settings, logLevel string) error {
+func servePlatform(ctx context.Context, received *signals, platformSettings platform.Settings, logLevel string) error {
 	s := settingsFromPlatform(platformSettings, logLevel)
 	if err := s.check(); err != nil {
 		return err
@@ -76,7 +76,7 @@
 		return err
 	}
 	reload := received.reloadActor(func() { logSettingsChange(platformSettings, logger) })
-	return serveAll(ctx, s, n, callers, logger, received.stopActor(ctx, logger), reload, ready)
+	return serveAll(ctx, received, s, n, callers, logger, reload, ready)
 }
 
 func newPlatformNode(ctx context.Context, platformSettings platform.Settings, s settings, logger log.Logger) *node.Node {
--- a/tamarackd/wiring/settings.go
+++ b/tamarackd/wiring/settings.go
@@ -43,7 +43,9 @@
 )
 
 const (
-	defaultBackendConns   = 256
+	defaultBackendConns = 256
+	// minStopTimeout is the time for the last answers of a stop whose signal came late.
+	minStopTimeout        = 500 * time.Millisecond
 	minLease              = 200 * time.Millisecond
 	minHeartbeatInterval  = 10 * time.Millisecond
 	minHeartbeatsPerLease = 2
@@ -79,7 +81,7 @@
 		Flags:    flags(),
 		Commands: []*cli.Command{platformCommand()},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			received := catchSignals()
+			received := catchSignals(ctx)
 			s := readFlags(c)
 			if err := s.check(); err != nil {
 				return err
@@ -180,6 +182,13 @@
 	return fmt.Errorf("%w:\n  %s", ErrSettings, strings.Join(faults, "\n  "))
 }
 
+// shortened returns the settings with the times of a stop that began some time ago.
+func (s settings) shortened(elapsed time.Duration) settings {
+	s.drainDelay = max(0, s.drainDelay-elapsed)
+	s.stopTimeout = max(min(minStopTimeout, s.stopTimeout), s.stopTimeout-elapsed)
+	return s
+}
+
 func (s settings) checkTimes(fault func(format string, args ...any)) {
 	if s.lease < minLease {
 		fault("--%s: %s is less than %s", flagLease, s.lease, minLease)
--- a/tamarackd/wiring/wiring.go
+++ b/tamarackd/wiring/wiring.go
@@ -81,7 +81,7 @@
 }
 
 // serveNode runs a node with the settings of the command line until a signal or a failed listener ends it.
-func serveNode(ctx context.Context, received signals, s settings) error {
+func serveNode(ctx context.Context, received *signals, s settings) error {
 	TuneMemory()
 	logger := newLogger(s, os.Stderr)
 	n := newNode(s, logger)
@@ -89,12 +89,14 @@
 	reload := received.reloadActor(func() {
 		_ = level.Info(logger).Log("msg", "signal ignored, settings of the command line change at the next start")
 	})
-	return serveAll(ctx, s, n, callers, logger, received.stopActor(ctx, logger), reload)
+	return serveAll(ctx, received, s, n, callers, logger, reload)
 }
 
 // serveAll runs a node's listeners and the given actors in one group. The first of them that fails, or a signal, ends all.
 // It returns nil after a signal.
-func serveAll(ctx context.Context, s settings, n *node.Node, callers http.Handler, logger log.Logger, actors ...actor) error {
+func serveAll(
+	ctx context.Context, received *signals, s settings, n *node.Node, callers http.Handler, logger log.Logger, actors ...actor,
+) error {
 	defer n.Close()
 	listeners, err := listenAll(ctx, s)
 	if err != nil {
@@ -108,10 +110,12 @@
 		Reclaim: n.HandleReclaim,
 	})
 	var group run.Group
-	group.Add(func() error { return serve(server, listeners.http) }, func(error) { stop(n, server, s, logger) })
+	group.Add(func() error { return serve(server, listeners.http) }, func(error) {
+		stop(n, server, s.shortened(time.Duration(received.stopDelay.Load())), logger)
+	})
 	group.Add(peers.Serve, func(error) { peers.Close() })
 	group.Add(func() error { return serve(ops, listeners.ops) }, func(error) { _ = ops.Close() })
-	for _, a := range actors {
+	for _, a := range append(actors, received.stopActor(ctx, logger)) {
 		group.Add(a.run, a.interrupt)
 	}
 	_ = level.Info(logger).Log("msg", "started", "version", Version, "http", s.httpAddr, "ops", s.opsAddr)
