Open connections to peers within the time of the request that needs one

Cause: the greeting had a bound of its own, 2 s, and the lock of the link was held meanwhile and awaited without any bound. Change: dialing and greeting together have 500 ms or the time of the request, and a request that waits for the connection of another ends with its own time. A link's lock is held for its fields only. Ruled out: connections without a greeting; it names the version of the protocol.

--- a/lib/relay/codec.go
+++ b/lib/relay/codec.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/binary"
 	"encoding/gob"
 	"errors"
@@ -57,9 +58,14 @@
 	return f
 }
 
-// exchangeGreetings sends the greeting and reads the peer's. It fails with ErrVersion if they differ.
-func exchangeGreetings(conn net.Conn) error {
-	if err := conn.SetDeadline(time.Now().Add(greetingTimeout)); err != nil {
+// exchangeGreetings sends the greeting and reads the peer's, within greetingTimeout and before the deadline of the context. It
+// fails with ErrVersion if they differ.
+func exchangeGreetings(ctx context.Context, conn net.Conn) error {
+	deadline := time.Now().Add(greetingTimeout)
+	if earlier, ok := ctx.Deadline(); ok && earlier.Before(deadline) {
+		deadline = earlier
+	}
+	if err := conn.SetDeadline(deadline); err != nil {
 		return fmt.Errorf("set deadline for greeting: %w", err)
 	}
 	if _, err := io.WriteString(conn, greeting); err != nil {
--- a/lib/relay/link.go
+++ b/lib/relay/link.go
@@ -15,13 +15,43 @@
 	pingReplyTimeout = 350 * time.Millisecond
 	// maxSilence is how long a connection with open requests may deliver no bytes, whether a ping was sent or not.
 	maxSilence = time.Second
+	// retiredConnTTL is how long a silent connection stays open after it was replaced, for answers to the requests that
+	// were sent on it.
+	retiredConnTTL = time.Minute
 )
 
-// link holds the current connection to one peer, none where client is nil. Its lock is held while a connection is opened.
+// link holds the current connection to one peer, none where client is nil.
 type link struct {
-	mu     sync.Mutex
-	client *rpc.Client
-	conn   *monitoredConn
+	opening chan struct{} // full while a connection is opened
+	mu      sync.Mutex
+	client  *rpc.Client
+	conn    *monitoredConn
+}
+
+func newLink() *link { return &link{opening: make(chan struct{}, 1)} }
+
+// current returns the connection, nil if there is none or it has gone silent.
+func (l *link) current() (*rpc.Client, *monitoredConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.client == nil || l.conn.isSilent() {
+		return nil, nil
+	}
+	return l.client, l.conn
+}
+
+// replace makes a new connection the current one. A silent one before it stays open for a while, for answers to the requests
+// that were sent on it.
+func (l *link) replace(conn net.Conn) (*rpc.Client, *monitoredConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.client != nil {
+		silent := l.conn
+		time.AfterFunc(retiredConnTTL, func() { _ = silent.Close() })
+	}
+	l.conn = &monitoredConn{Conn: conn}
+	l.client = rpc.NewClientWithCodec(clientCodec{newFramedConn(l.conn)})
+	return l.client, l.conn
 }
 
 // monitoredConn counts the open requests on a connection and records when it last delivered bytes, to detect a connection
--- a/lib/relay/peers.go
+++ b/lib/relay/peers.go
@@ -26,9 +26,6 @@
 	cancelGrace = 100 * time.Millisecond
 	// probeTimeout is how long a peer may take to answer a ping after a connection to it has gone silent.
 	probeTimeout = 300 * time.Millisecond
-	// retiredConnTTL is how long a silent connection stays open after it was replaced, for answers to the requests that
-	// were sent on it.
-	retiredConnTTL = time.Minute
 )
 
 var errUnreachable = errors.New("peer cannot be reached")
@@ -60,7 +57,7 @@
 	defer p.mu.Unlock()
 	l, ok := p.links[addr]
 	if !ok {
-		l = &link{}
+		l = newLink()
 		p.links[addr] = l
 	}
 	return l
@@ -69,29 +66,30 @@
 // client returns the connection to a peer. It opens one if there is none or if the current one has gone silent.
 func (p *Peers) client(ctx context.Context, addr string) (*rpc.Client, *monitoredConn, error) {
 	l := p.link(addr)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.client != nil && !l.conn.isSilent() {
-		return l.client, l.conn, nil
-	}
-	if l.client != nil {
-		silent := l.conn
-		time.AfterFunc(retiredConnTTL, func() { _ = silent.Close() })
-		l.client = nil
+	if client, conn := l.current(); client != nil {
+		return client, conn, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
+	select {
+	case l.opening <- struct{}{}:
+	case <-ctx.Done():
+		return nil, nil, fmt.Errorf("%w: %w", errUnreachable, ctx.Err())
+	}
+	defer func() { <-l.opening }()
+	if client, conn := l.current(); client != nil {
+		return client, conn, nil
+	}
 	conn, err := p.dial(ctx, addr)
 	if err != nil {
 		return nil, nil, err
 	}
-	if err := exchangeGreetings(conn); err != nil {
+	if err := exchangeGreetings(ctx, conn); err != nil {
 		_ = conn.Close()
 		return nil, nil, err
 	}
-	l.conn = &monitoredConn{Conn: conn}
-	l.client = rpc.NewClientWithCodec(clientCodec{newFramedConn(l.conn)})
-	return l.client, l.conn, nil
+	client, monitored := l.replace(conn)
+	return client, monitored, nil
 }
 
 // drop removes a connection that has failed, unless it was replaced already.
--- a/lib/relay/server.go
+++ b/lib/relay/server.go
@@ -62,12 +62,12 @@
 
 func (s *Server) serveConn(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
-	if exchangeGreetings(conn) != nil || !s.track(conn) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if exchangeGreetings(ctx, conn) != nil || !s.track(conn) {
 		return
 	}
 	defer s.untrack(conn)
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
 	server := rpc.NewServer()
 	receiver := &Node{ctx: ctx, handlers: s.handlers, cancels: map[string]context.CancelFunc{}}
 	if err := server.RegisterName(serviceName, receiver); err != nil {
--- a/lib/relay/silent_test.go
+++ b/lib/relay/silent_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -131,3 +132,25 @@
 	is.True(peers.Exec(t.Context(), addr, r).Verdict().HasRun())
 	is.Equal(dials, 1)
 }
+
+// TestRequestsEndInTimeWhilePeerDoesNotGreet guards against requests that are held past their deadlines while a connection to a
+// peer whose process is suspended is being opened.
+func TestRequestsEndInTimeWhilePeerDoesNotGreet(t *testing.T) {
+	is := is.New(t)
+	addr := listen(t).Addr().String() // the kernel accepts connections
+	peers := relay.NewPeers(relay.DialTCP)
+	answers := make(chan call.Answer)
+	began := time.Now()
+	const requests, timeout = 4, 300 * time.Millisecond
+	for i := range requests {
+		go func() {
+			ctx, cancel := context.WithTimeout(t.Context(), timeout)
+			defer cancel()
+			answers <- peers.Exec(ctx, addr, request(strconv.Itoa(i), "x", timeout))
+		}()
+	}
+	for range requests {
+		is.Equal((<-answers).Verdict(), verd.NotRun(verd.ReasonPeerUnreachable))
+	}
+	is.True(time.Since(began) < 3*timeout)
+}
