Name the parts of a stop after what they hold

Cause: the review stumbled over givenUp, giveUp and withGiveUp, which differ by tense only, and over lastDeadline and lastAnswerTime, of which nobody sees that one follows from the other. Change: names only (inFlightCtx, cancelInFlight, withStopReason, stopDeadline, answerMargin, giveUpMargin).

--- a/lib/node/entry.go
+++ b/lib/node/entry.go
@@ -44,7 +44,7 @@
 	caller := ctx
 	ctx, cancel := context.WithDeadline(ctx, e.request.Deadline())
 	defer cancel()
-	detach := context.AfterFunc(n.givenUp, cancel)
+	detach := context.AfterFunc(n.inFlightCtx, cancel)
 	defer detach()
 	if e.parent != nil {
 		e.parent.BeginCall(start)
@@ -55,7 +55,7 @@
 		// The platform's retry budget counts all requests, not only successful ones.
 		n.retries.RecordRequest(e.request.Service(), e.request.RetryFraction())
 	}
-	a := call.AcrossAttempts(e.request, n.withGiveUp(caller, n.sendWithRetries(ctx, e)))
+	a := call.AcrossAttempts(e.request, n.withStopReason(caller, n.sendWithRetries(ctx, e)))
 	if a.Verdict().IsNotRun() && a.RetryAfter() == 0 {
 		a = a.WithRetryAfter(n.retryAfter(e.request))
 	}
--- a/lib/node/node.go
+++ b/lib/node/node.go
@@ -57,9 +57,9 @@
 
 	refusesCallers atomic.Bool
 	refusesAll     atomic.Bool
-	lastDeadline   atomic.Pointer[time.Time] // of the requests that enter while the node stops
-	givenUp        context.Context           // ends when a stopping node gives up the requests that are left
-	giveUp         context.CancelFunc
+	stopDeadline   atomic.Pointer[time.Time] // the latest deadline of requests that enter while the node stops
+	inFlightCtx    context.Context           // of all requests that entered here; ends when a stopping node gives up what is left
+	cancelInFlight context.CancelFunc
 
 	queue         *queue.Queue
 	limit         *limit.Limit
@@ -127,7 +127,7 @@
 		lastReplyAt:        c.Now(),
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
-	n.givenUp, n.giveUp = context.WithCancel(n.ctx)
+	n.inFlightCtx, n.cancelInFlight = context.WithCancel(n.ctx)
 	n.rulesStore = spread.NewStore(spread.Seams{Parse: n.parseRules, Apply: n.applyRules})
 	n.hostsStore = spread.NewStore(spread.Seams{Parse: n.parseHosts, Apply: n.applyHosts})
 	n.queue = queue.New(c, queue.Seams{Capacity: n.queueCapacity, Limit: n.concurrencyLimit, Estimate: n.estimateAll}, maxWorkers)
--- a/lib/node/stop.go
+++ b/lib/node/stop.go
@@ -15,10 +15,10 @@
 	// peerNoticeTime is how long a stopping node goes on answering, so that peers learn of the stop by heartbeat; until
 	// they have, each request that they send is refused.
 	peerNoticeTime = 300 * time.Millisecond
-	// lastAnswerTime is the time before the stop timeout that is left for passing on the answers to the last requests.
-	lastAnswerTime = 300 * time.Millisecond
-	// giveUpTime is the time before the stop timeout at which a stopping node gives up the requests that are left.
-	giveUpTime = 150 * time.Millisecond
+	// answerMargin is the time before the stop timeout that is left for passing on the answers to the last requests.
+	answerMargin = 300 * time.Millisecond
+	// giveUpMargin is the time before the stop timeout at which a stopping node gives up the requests that are left.
+	giveUpMargin = 150 * time.Millisecond
 )
 
 // Stop drains for good and gives callers the time callersLeave to send their requests elsewhere; then it refuses them, and
@@ -27,8 +27,8 @@
 // working meanwhile.
 func (n *Node) Stop(ctx context.Context, callersLeave time.Duration) {
 	if end, ok := ctx.Deadline(); ok {
-		last := end.Add(-lastAnswerTime)
-		n.lastDeadline.Store(&last)
+		last := end.Add(-answerMargin)
+		n.stopDeadline.Store(&last)
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, last)
 		defer cancel()
@@ -78,9 +78,9 @@
 	return e.request.ParentToken() != ""
 }
 
-// boundByStop returns the deadline of a request, or that of the last requests of a stopping node if it comes first.
+// boundByStop returns the deadline of a request, or stopDeadline if the node stops and that comes first.
 func (n *Node) boundByStop(deadline time.Time) time.Time {
-	if last := n.lastDeadline.Load(); last != nil && last.Before(deadline) {
+	if last := n.stopDeadline.Load(); last != nil && last.Before(deadline) {
 		return *last
 	}
 	return deadline
@@ -93,7 +93,7 @@
 	err := n.waitIdle(ctx)
 	if err != nil {
 		n.refuseAll()
-		n.giveUp()
+		n.cancelInFlight()
 		if unanswered := n.serving.wait(ctx); unanswered != nil {
 			err = fmt.Errorf("not answered: %w", unanswered)
 		}
@@ -104,12 +104,12 @@
 	return err
 }
 
-// waitIdle waits until no request is in flight, at the latest until giveUpTime before the context ends. The error says how
+// waitIdle waits until no request is in flight, at the latest until giveUpMargin before the context ends. The error says how
 // many requests were left.
 func (n *Node) waitIdle(ctx context.Context) error {
 	if end, ok := ctx.Deadline(); ok {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, end.Add(-giveUpTime))
+		ctx, cancel = context.WithDeadline(ctx, end.Add(-giveUpMargin))
 		defer cancel()
 	}
 	if err := n.executing.wait(ctx); err != nil {
@@ -119,11 +119,10 @@
 	return n.serving.wait(ctx)
 }
 
-// withGiveUp returns the verdict of a request that ended because the node gave it up at the end of a stop: the kind stays,
-// and the reason is the stop.
-func (n *Node) withGiveUp(caller context.Context, a call.Answer) call.Answer {
+// withStopReason names the stop as the reason of a request that a stopping node gave up; the kind of its verdict stays.
+func (n *Node) withStopReason(caller context.Context, a call.Answer) call.Answer {
 	v := a.Verdict()
-	if n.givenUp.Err() == nil || caller.Err() != nil || v.Reason() != verd.ReasonCanceled {
+	if n.inFlightCtx.Err() == nil || caller.Err() != nil || v.Reason() != verd.ReasonCanceled {
 		return a
 	}
 	if v.IsNotRun() {
