Keep the known heartbeats of an entry that a backup makes count again

Callers would see: requests to an endpoint that is gone, after the store was restored twice. Cause: an entry of a backup that the store keeps for 6 s is believed, and the known number of heartbeats was replaced by the lower one of the backup, so that a second backup from in between passed for news. Change: the higher number stays.

--- a/lib/roster/restore_test.go
+++ b/lib/roster/restore_test.go
@@ -186,3 +186,18 @@
 		w.settle(t)
 	})
 }
+
+// TestSecondBackupBringsNoEndpointBack guards against an endpoint that is gone and comes back with a second backup, after an
+// entry of the first one had to be believed.
+func TestSecondBackupBringsNoEndpointBack(t *testing.T) {
+	is := is.New(t)
+	c := clock.NewManual(start)
+	table := roster.NewTable(c)
+	table.Replace(named(beating(9).WithLeaving(), atEpoch(1, 5)), atEpoch(1, 5))
+	table.Replace(named(beating(1), atEpoch(2, 2)), atEpoch(2, 2))
+	c.Advance(time.Minute)
+	is.Equal(stateOf(t, table), "live")
+	table.Remove("a", atEpoch(2, 3))
+	table.Replace(named(beating(5), atEpoch(3, 3)), atEpoch(3, 3))
+	is.Equal(stateOf(t, table), "gone")
+}
--- a/lib/roster/roster.go
+++ b/lib/roster/roster.go
@@ -242,7 +242,7 @@
 			t.bury(name, e)
 			t.localChanges++
 		default:
-			e.state, e.endpoint = published, e.outdated
+			e.state, e.endpoint = published, e.outdated.WithHeartbeats(max(e.outdated.Heartbeats(), e.endpoint.Heartbeats()))
 			t.localChanges++
 		}
 	}
