Take a drain for news although its heartbeat is known

Callers would see: requests to an endpoint that drains, for good, where it wrote its drain without counting a heartbeat and the entry is first read together with a backup. Cause: an entry with the heartbeat that is known was taken for the same entry, whatever its state. Evidence: TestDrainWithoutANewHeartbeatCounts failed before (live). Change: of two entries with the same heartbeats the one that is leaving is the later one.

--- a/lib/hosts/hosts.go
+++ b/lib/hosts/hosts.go
@@ -84,12 +84,16 @@
 // zero where it is not known.
 func (e Endpoint) Heartbeats() int64 { return e.heartbeats }
 
-// IsOutdated reports whether the entry was written before what is known of the endpoint, or is the same entry.
+// IsOutdated reports whether the entry was written before what is known of the endpoint, or says nothing new. Of two entries
+// with the same heartbeats, the one that is leaving is the later one.
 func (e Endpoint) IsOutdated(known Endpoint) bool {
 	if !e.started.Equal(known.started) {
 		return e.started.Before(known.started)
 	}
-	return e.heartbeats <= known.heartbeats
+	if e.heartbeats != known.heartbeats {
+		return e.heartbeats < known.heartbeats
+	}
+	return known.leaving || !e.leaving
 }
 
 // Leaving reports whether the platform lists the endpoint as leaving.
--- a/lib/roster/restore_test.go
+++ b/lib/roster/restore_test.go
@@ -201,3 +201,13 @@
 	table.Replace(named(beating(5), atEpoch(3, 3)), atEpoch(3, 3))
 	is.Equal(stateOf(t, table), "gone")
 }
+
+// TestDrainWithoutANewHeartbeatCounts guards against an endpoint that stays live for good because its drain was written without a
+// new heartbeat and read with a backup.
+func TestDrainWithoutANewHeartbeatCounts(t *testing.T) {
+	is := is.New(t)
+	table := roster.NewTable(clock.NewManual(start))
+	table.Replace(named(beating(9), atEpoch(1, 5)), atEpoch(1, 5))
+	table.Replace(named(beating(9).WithLeaving(), atEpoch(2, 2)), atEpoch(2, 2))
+	is.Equal(stateOf(t, table), "leaving")
+}
