Let the list of a node that knows more win over one made from a backup

Callers would see: requests to an endpoint that left, for up to 6 s, after a node that started since the restoration has passed on its list, which takes the backup for the present. Cause: at the same position of the store both lists had the same version; the one that came into force first stayed. Evidence: TestListOfTheNodeThatKnowsMoreWins failed before. Change: while any entry is not as the platform says, the table counts a local change, so that its version is higher.

--- a/lib/roster/restore_test.go
+++ b/lib/roster/restore_test.go
@@ -211,3 +211,31 @@
 	table.Replace(named(beating(9).WithLeaving(), atEpoch(2, 2)), atEpoch(2, 2))
 	is.Equal(stateOf(t, table), "leaving")
 }
+
+// TestListOfTheNodeThatKnowsMoreWins guards against the list of a fresh node, which takes a backup for the present, replacing
+// the list of nodes that know what has left.
+func TestListOfTheNodeThatKnowsMoreWins(t *testing.T) {
+	is := is.New(t)
+	c := clock.NewManual(start)
+	veteran, fresh := roster.NewTable(c), roster.NewTable(c)
+	veteran.Replace(named(beating(1), atEpoch(1, 5)), atEpoch(1, 5))
+	veteran.Remove("a", atEpoch(1, 6))
+	for _, table := range []*roster.Table{veteran, fresh} {
+		table.Replace(named(beating(1), atEpoch(2, 5)), atEpoch(2, 5))
+	}
+	checkWins := func() {
+		t.Helper()
+		known, _, err := veteran.List()
+		is.NoErr(err)
+		naive, _, err := fresh.List()
+		is.NoErr(err)
+		is.Equal(len(known.Endpoints()), len(naive.Endpoints())-1)
+		is.True(known.Version() > naive.Version())
+	}
+	checkWins()
+	other := endpoint("desk", "10.0.0.2", start).WithHeartbeats(3)
+	for _, table := range []*roster.Table{veteran, fresh} {
+		table.Put("b", other, atEpoch(2, 6))
+	}
+	checkWins()
+}
--- a/lib/roster/roster.go
+++ b/lib/roster/roster.go
@@ -70,6 +70,7 @@
 	defer t.mu.Unlock()
 	if p.epoch == t.position.epoch {
 		t.put(name, e, p)
+		t.countDifference()
 	}
 }
 
@@ -100,6 +101,21 @@
 	}
 	t.advance(p)
 	t.remove(name, recorded)
+	t.countDifference()
+}
+
+// countDifference counts a local change while the list differs from what the platform alone says, so that it wins over the
+// list of a node that knows no more than that.
+func (t *Table) countDifference() {
+	if t.localChanges > 0 {
+		return
+	}
+	for _, e := range t.entries {
+		if e.state != published {
+			t.localChanges = 1
+			return
+		}
+	}
 }
 
 func (t *Table) remove(name string, e *entry) {
@@ -158,6 +174,7 @@
 		}
 	}
 	t.advance(p)
+	t.countDifference()
 	t.everRead = true
 	return t.held()
 }
