--- a/lib/roster/position.go
+++ b/lib/roster/position.go
@@ -39,6 +39,9 @@
 // EpochStart returns the position before all revisions of the epoch.
 func (p Position) EpochStart() Position { return Position{epoch: p.epoch} }
 
+// IsEpochStart reports whether the position is before all revisions of its epoch.
+func (p Position) IsEpochStart() bool { return p.revision == 0 }
+
 // After reports whether the position is later than another one.
 func (p Position) After(other Position) bool {
 	return cmp.Or(cmp.Compare(p.epoch, other.epoch), cmp.Compare(p.revision, other.revision)) > 0
