--- a/lib/node/entry.go
+++ b/lib/node/entry.go
@@ -35,24 +35,26 @@
 // Serve handles a request that a caller or the local backend server sent to this node, and returns its final answer.
 func (n *Node) Serve(ctx context.Context, r call.Request) call.Answer {
 	start := n.clock.Now()
+	n.serving.enter()
+	defer n.serving.leave()
 	e, v := n.admit(r)
 	if v != nil {
 		return n.refuse(e, *v, start)
 	}
+	caller := ctx
 	ctx, cancel := context.WithDeadline(ctx, e.request.Deadline())
 	defer cancel()
+	defer context.AfterFunc(n.givenUp, cancel)()
 	if e.parent != nil {
 		e.parent.BeginCall(start)
 		stop := context.AfterFunc(e.parent.Context(), cancel)
 		defer stop()
 	}
-	n.serving.enter()
-	defer n.serving.leave()
 	if n.settings.untraced {
 		// The platform's retry budget counts all requests, not only successful ones.
 		n.retries.RecordRequest(e.request.Service(), e.request.RetryFraction())
 	}
-	a := call.AcrossAttempts(e.request, n.sendWithRetries(ctx, e))
+	a := call.AcrossAttempts(e.request, n.withGiveUp(caller, n.sendWithRetries(ctx, e)))
 	if a.Verdict().IsNotRun() && a.RetryAfter() == 0 {
 		a = a.WithRetryAfter(n.retryAfter(e.request))
 	}
@@ -81,6 +83,9 @@
 		return e, notRun(verd.ReasonUnknownRoute)
 	}
 	e.route = route
+	if v := n.checkStopping(e); v != nil {
+		return e, v
+	}
 	class, _ := set.Class(route.Class())
 	name, fits := n.split.Choose(route)
 	e.countedInSplit = fits
@@ -109,7 +114,7 @@
 	if requested := e.request.Timeout(); requested > 0 {
 		timeout = min(timeout, requested)
 	}
-	e.request = e.request.WithDeadline(now.Add(timeout))
+	e.request = e.request.WithDeadline(n.boundByStop(now.Add(timeout)))
 	if e.request.ParentToken() != "" {
 		return n.inheritLimits(e)
 	}
@@ -154,7 +159,7 @@
 // the route. It admits all requests of internal routes, so that work that a backend server has begun is finished.
 func (n *Node) admitUntraced(e *entry) *verd.Verdict {
 	name := e.route.Name()
-	if !n.origin.IsEntryRoute(name) {
+	if n.isDownstreamCall(e) {
 		n.entryCounts.downstream.Add(1)
 		e.request = e.request.WithDownstream(true).WithRetryFraction(n.retryFraction.Value())
 		n.fanout.Called(name)
--- /dev/null
+++ b/lib/node/stop.go
@@ -0,0 +1,110 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"tamarackrudder.org/lib/call"
+	"tamarackrudder.org/lib/verd"
+)
+
+const (
+	// peerNoticeTime is how long a stopping node goes on answering, so that peers learn of the stop by heartbeat; until
+	// they have, each request that they send is refused.
+	peerNoticeTime = 300 * time.Millisecond
+	// lastAnswerTime is the time before the stop timeout that is left for passing on the answers to the last requests.
+	lastAnswerTime = 300 * time.Millisecond
+	// giveUpTime is the time before the stop timeout at which a stopping node gives up the requests that are left.
+	giveUpTime = 150 * time.Millisecond
+)
+
+// Stop drains for good and gives callers the time callersLeave to send their requests elsewhere; then it refuses them, and
+// only the downstream calls of the local backend server go on. The context ends at the stop timeout. A node with leases
+// hands its keys over before the time callersLeave; without leases it drains afterwards, so that its backend server goes on
+// working meanwhile.
+func (n *Node) Stop(ctx context.Context, callersLeave time.Duration) {
+	if end, ok := ctx.Deadline(); ok {
+		end = end.Add(-lastAnswerTime)
+		n.lastDeadline.Store(&end)
+	}
+	n.stopping.Store(true)
+	if n.Leased() {
+		n.Drain(ctx)
+		n.wait(ctx, callersLeave)
+		n.refusesCallers.Store(true)
+		return
+	}
+	n.wait(ctx, callersLeave)
+	n.refusesCallers.Store(true)
+	n.Drain(ctx)
+	n.wait(ctx, peerNoticeTime)
+}
+
+// checkStopping refuses a request that comes from a caller after the time that a stop gives callers to leave.
+func (n *Node) checkStopping(e *entry) *verd.Verdict {
+	if n.refusesCallers.Load() && !n.isDownstreamCall(e) {
+		return notRun(verd.ReasonLeaving)
+	}
+	return nil
+}
+
+// isDownstreamCall reports whether a request comes from the local backend server.
+func (n *Node) isDownstreamCall(e *entry) bool {
+	if n.settings.untraced {
+		return !n.origin.IsEntryRoute(e.route.Name())
+	}
+	return e.request.ParentToken() != ""
+}
+
+// boundByStop returns the deadline of a request, or that of the last requests of a stopping node if it comes first.
+func (n *Node) boundByStop(deadline time.Time) time.Time {
+	if last := n.lastDeadline.Load(); last != nil && last.Before(deadline) {
+		return *last
+	}
+	return deadline
+}
+
+// Finish waits until no request is in flight. What is left shortly before the context ends is given up, so that its caller
+// still gets an answer; the error says how many requests these were. After a release of keys it hands over the answers that
+// were stored since.
+func (n *Node) Finish(ctx context.Context) error {
+	err := n.waitIdle(ctx)
+	if err != nil {
+		n.giveUp()
+		if unanswered := n.serving.wait(ctx); unanswered != nil {
+			err = fmt.Errorf("not answered: %w", unanswered)
+		}
+	}
+	if n.Leased() && n.group.ReleaseAcknowledged() {
+		n.handOver(ctx)
+	}
+	return err
+}
+
+// waitIdle waits until no request is in flight, at the latest until giveUpTime before the context ends. The error says how
+// many requests were left.
+func (n *Node) waitIdle(ctx context.Context) error {
+	if end, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, end.Add(-giveUpTime))
+		defer cancel()
+	}
+	if err := n.executing.wait(ctx); err != nil {
+		return err
+	}
+	return n.serving.wait(ctx)
+}
+
+// withGiveUp returns the verdict of a request that ended because the node gave it up at the end of a stop: the kind stays,
+// and the reason is the stop.
+func (n *Node) withGiveUp(caller context.Context, a call.Answer) call.Answer {
+	v := a.Verdict()
+	if n.givenUp.Err() == nil || caller.Err() != nil || v.Reason() != verd.ReasonCanceled {
+		return a
+	}
+	if v.IsNotRun() {
+		return call.Refusal(verd.NotRun(verd.ReasonLeaving))
+	}
+	return call.Refusal(verd.MayHaveRun(verd.ReasonLeaving))
+}
