--- a/lib/node/exec.go
+++ b/lib/node/exec.go
@@ -34,7 +34,7 @@
 func (n *Node) Exec(ctx context.Context, r call.Request) call.Answer {
 	n.executing.enter()
 	defer n.executing.leave()
-	a := n.exec(ctx, r)
+	a := n.execBounded(ctx, r)
 	if r.Service() != n.settings.service || n.rules.Load() == nil {
 		return a.WithInFlight(n.queue.InFlight())
 	}
@@ -48,6 +48,17 @@
 	return a.WithInFlight(n.queue.InFlight())
 }
 
+// execBounded executes a request with a deadline before the end of a stop. If only that deadline is too early, the refusal
+// names the stop, so that the entry node sends the request elsewhere.
+func (n *Node) execBounded(ctx context.Context, r call.Request) call.Answer {
+	bounded := r.WithDeadline(n.boundByStop(r.Deadline()))
+	a := n.exec(ctx, bounded)
+	if bounded.Deadline().Before(r.Deadline()) && a.Verdict() == verd.NotRun(verd.ReasonDeadline) {
+		return refuse(r, verd.ReasonLeaving)
+	}
+	return a
+}
+
 func (n *Node) exec(ctx context.Context, r call.Request) call.Answer {
 	service, ok := n.localService()
 	switch {
@@ -184,7 +195,7 @@
 	route := n.routeOf(r)
 	run := func() { n.runJob(ctx, r, service, route, ended) }
 	drop := func() {
-		a := refuse(r, verd.ReasonQueueFull)
+		a := refuse(r, n.dropReason())
 		n.settle(r, a)
 		ended <- a
 	}
@@ -215,6 +226,15 @@
 	return <-ended
 }
 
+// dropReason returns why a queued request is dropped: an endpoint that leaves drops all, so that entry nodes send them
+// elsewhere.
+func (n *Node) dropReason() verd.Reason {
+	if n.leaving.Load() {
+		return verd.ReasonLeaving
+	}
+	return verd.ReasonQueueFull
+}
+
 func contextReason(ctx context.Context) verd.Reason {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return verd.ReasonDeadline
