--- a/lib/roster/roster.go
+++ b/lib/roster/roster.go
@@ -10,119 +10,156 @@
 )
 
 const (
-	// missingGrace is how long a missing entry still counts after the platform has become reachable again.
+	// missingGrace is how long a missing entry still counts after the platform has become reachable again or was restored.
 	missingGrace = 2200 * time.Millisecond
-	// expiryWindow is how long after an outage a removed entry may have expired because its heartbeats did not arrive.
+	// expiryWindow is how long after an outage or a restoration a removed entry may have expired because its heartbeats did not arrive.
 	expiryWindow = time.Second
 	// localChangeBits is the number of low bits of a list's version that count changes made here; the bits above them
-	// hold the platform's revision.
+	// hold the sequence of the platform's position.
 	localChangeBits = 8
 )
 
-// entry is one published entry. One that was removed counts until countsUntil.
+// state is how an entry counts in the list of hosts.
+type state int
+
+const (
+	// published entries count as they are.
+	published state = iota
+	// expiring entries were removed, and count until their grace period ends.
+	expiring
+	// heldLeaving entries count as leaving, although a backup from before they were has brought them back.
+	heldLeaving
+	// heldGone entries do not count, although a backup from before their removal has brought them back.
+	heldGone
+)
+
+// entry is one entry with the endpoint as it is known.
 type entry struct {
-	endpoint    hosts.Endpoint
-	revision    uint64
-	removed     bool
-	countsUntil time.Time
+	endpoint hosts.Endpoint
+	position Position
+	state    state
+	until    time.Time      // the end of the state, unless that is published
+	outdated hosts.Endpoint // the endpoint according to the backup, while the entry is held
 }
 
+func (e *entry) isHeld() bool { return e.state == heldLeaving || e.state == heldGone }
+
 // Table holds the published entries by name.
 type Table struct {
 	clock            clock.Clock
 	mu               sync.Mutex
 	entries          map[string]*entry
-	revision         uint64
+	tombstones       map[string]tombstone
+	position         Position
 	localChanges     uint64
 	unreachableSince time.Time
-	reachableSince   time.Time
+	graceSince       time.Time // the end of the last outage, or the last restoration
 	unreachable      bool
 	everRead         bool
 }
 
 // NewTable returns an empty table.
-func NewTable(c clock.Clock) *Table { return &Table{clock: c, entries: map[string]*entry{}} }
+func NewTable(c clock.Clock) *Table {
+	return &Table{clock: c, entries: map[string]*entry{}, tombstones: map[string]tombstone{}}
+}
 
-// Put records an entry, unless the same or a newer revision of it is recorded and has not been removed since.
-func (t *Table) Put(name string, e hosts.Endpoint, revision uint64) {
+// Put records an entry, unless the same or a newer change of it is recorded and has not been removed since. Changes of
+// another epoch than that of the last Replace are ignored.
+func (t *Table) Put(name string, e hosts.Endpoint, p Position) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.put(name, e, revision)
+	if p.epoch == t.position.epoch {
+		t.put(name, e, p)
+	}
 }
 
-func (t *Table) put(name string, e hosts.Endpoint, revision uint64) {
+func (t *Table) put(name string, e hosts.Endpoint, p Position) {
 	recorded, ok := t.entries[name]
-	if ok && recorded.revision >= revision && !recorded.removed {
+	if ok && !p.After(recorded.position) && recorded.state != expiring {
 		return
 	}
-	t.entries[name] = &entry{endpoint: e, revision: revision}
-	t.advance(revision)
+	t.entries[name] = &entry{endpoint: e, position: p}
+	t.advance(p)
 }
 
-// advance records the platform's newest revision, at which the count of local changes begins again.
-func (t *Table) advance(revision uint64) {
-	if revision > t.revision {
-		t.revision, t.localChanges = revision, 0
+// advance records the platform's newest position, at which the count of local changes begins again.
+func (t *Table) advance(p Position) {
+	if p.After(t.position) {
+		t.position, t.localChanges = p, 0
 	}
 }
 
-// Remove records that an entry was removed. The entry counts for a short time longer if it may only have expired.
-func (t *Table) Remove(name string, revision uint64) {
+// Remove records that an entry was removed. The entry counts for a short time longer if it may only have expired. Changes
+// of another epoch than that of the last Replace are ignored.
+func (t *Table) Remove(name string, p Position) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	recorded, ok := t.entries[name]
-	if !ok || recorded.revision >= revision {
+	if !ok || p.epoch != t.position.epoch || !p.After(recorded.position) {
 		return
 	}
-	t.advance(revision)
-	t.remove(name, recorded, revision)
+	t.advance(p)
+	t.remove(name, recorded)
 }
 
-func (t *Table) remove(name string, recorded *entry, revision uint64) {
-	if !t.mayHaveExpired() || recorded.endpoint.Leaving() {
-		delete(t.entries, name)
-		return
+func (t *Table) remove(name string, e *entry) {
+	switch {
+	case e.state == expiring: // it counts until its grace period ends
+	case !t.mayHaveExpired() || e.state == heldGone || e.endpoint.Leaving():
+		t.bury(name, e)
+	default:
+		e.state, e.until = expiring, t.graceSince.Add(missingGrace)
 	}
-	if recorded.removed {
-		return
-	}
-	recorded.removed, recorded.revision = true, revision
-	recorded.countsUntil = t.reachableSince.Add(missingGrace)
 }
 
-// mayHaveExpired reports whether entries may be missing only because their writers could not reach the platform.
+// mayHaveExpired reports whether entries may be missing only because their writers could not reach the platform, or have
+// not written them again since it was restored.
 func (t *Table) mayHaveExpired() bool {
-	return t.unreachable || (!t.reachableSince.IsZero() && t.clock.Now().Sub(t.reachableSince) < expiryWindow)
+	return t.unreachable || (!t.graceSince.IsZero() && t.clock.Now().Sub(t.graceSince) < expiryWindow)
 }
 
-// NamedEntry is an entry with the name and the revision under which the platform holds it.
+// NamedEntry is an entry with its name at the platform and the position of its last change.
 type NamedEntry struct {
 	name     string
 	endpoint hosts.Endpoint
-	revision uint64
+	position Position
 }
 
-// NewNamedEntry returns an entry with its name and revision at the platform.
-func NewNamedEntry(name string, e hosts.Endpoint, revision uint64) NamedEntry {
-	return NamedEntry{name: name, endpoint: e, revision: revision}
+// NewNamedEntry returns an entry with its name at the platform and the position of its last change.
+func NewNamedEntry(name string, e hosts.Endpoint, p Position) NamedEntry {
+	return NamedEntry{name: name, endpoint: e, position: p}
 }
 
-// Replace records all entries as read at a revision. Recorded entries that are missing from them count as removed.
-func (t *Table) Replace(all []NamedEntry, revision uint64) {
+// Replace records all entries as read at a position. Recorded entries that are missing from them count as removed. What was
+// read in an older epoch than the recorded one is ignored. Replace returns the names of the entries whose endpoints stay
+// leaving or gone because the platform has brought back outdated ones.
+func (t *Table) Replace(all []NamedEntry, p Position) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if p.epoch < t.position.epoch {
+		return nil
+	}
+	restored := t.everRead && p.epoch > t.position.epoch
+	if restored {
+		t.startGrace(t.clock.Now())
+	}
 	present := map[string]bool{}
 	for _, n := range all {
 		present[n.name] = true
-		t.put(n.name, n.endpoint, n.revision)
+		if restored {
+			t.putRestored(n)
+		} else {
+			t.put(n.name, n.endpoint, n.position)
+		}
 	}
 	for name, recorded := range t.entries {
-		if !present[name] && recorded.revision <= revision {
-			t.remove(name, recorded, revision)
+		if !present[name] && !recorded.position.After(p) {
+			t.remove(name, recorded)
 		}
 	}
-	t.advance(revision)
+	t.advance(p)
 	t.everRead = true
+	return t.held()
 }
 
 // MarkUnreachable records that the platform cannot be read.
@@ -142,32 +179,34 @@
 		return 0
 	}
 	now := t.clock.Now()
-	t.unreachable, t.reachableSince = false, now
+	t.unreachable = false
+	t.startGrace(now)
+	return now.Sub(t.unreachableSince)
+}
+
+// startGrace lets missing entries count for missingGrace from now. Held entries stay so at least as long, since their
+// removal may have been missed.
+func (t *Table) startGrace(now time.Time) {
+	t.graceSince = now
+	end := now.Add(missingGrace)
 	for _, e := range t.entries {
-		if e.removed {
-			e.countsUntil = now.Add(missingGrace)
+		if e.state == expiring || e.until.Before(end) {
+			e.until = end
 		}
 	}
-	return now.Sub(t.unreachableSince)
 }
 
-// List returns the list in force, and when it will change without an update because a removed entry stops counting, zero
-// for never.
+// List returns the list in force, and when it will change without an update because the state of an entry ends, zero for
+// never.
 func (t *Table) List() (*hosts.List, time.Time, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := t.clock.Now()
-	var next time.Time
+	next := t.endStates()
 	newest := map[string]hosts.Endpoint{}
-	for name, e := range t.entries {
-		if e.removed && !t.unreachable && !now.Before(e.countsUntil) {
-			delete(t.entries, name)
-			t.localChanges++
+	for _, e := range t.entries {
+		if e.state == heldGone {
 			continue
 		}
-		if e.removed && (next.IsZero() || e.countsUntil.Before(next)) {
-			next = e.countsUntil
-		}
 		addr := e.endpoint.RPCAddr()
 		if other, taken := newest[addr]; !taken || other.Started().Before(e.endpoint.Started()) {
 			newest[addr] = e.endpoint
@@ -177,13 +216,39 @@
 	for _, e := range newest {
 		endpoints = append(endpoints, e)
 	}
-	list, err := hosts.NewList(t.revision<<localChangeBits|min(t.localChanges, 1<<localChangeBits-1), endpoints)
+	list, err := hosts.NewList(t.position.Sequence()<<localChangeBits|min(t.localChanges, 1<<localChangeBits-1), endpoints)
 	if err != nil {
 		return nil, next, fmt.Errorf("roster: %w", err)
 	}
 	return list, next, nil
 }
 
+// endStates ends the states of entries whose time is over, and returns when the next one ends, zero for never. While the
+// platform is unreachable no state ends.
+func (t *Table) endStates() time.Time {
+	var next time.Time
+	if t.unreachable {
+		return next
+	}
+	now := t.clock.Now()
+	for name, e := range t.entries {
+		switch {
+		case e.state == published:
+		case now.Before(e.until):
+			if next.IsZero() || e.until.Before(next) {
+				next = e.until
+			}
+		case e.state == expiring:
+			t.bury(name, e)
+			t.localChanges++
+		default:
+			e.state, e.endpoint = published, e.outdated
+			t.localChanges++
+		}
+	}
+	return next
+}
+
 // EverRead reports whether all entries have been read at least once.
 func (t *Table) EverRead() bool {
 	t.mu.Lock()
