--- a/lib/conns/pool.go
+++ b/lib/conns/pool.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -32,7 +33,8 @@
 	ErrUnsent = errors.New("request was not sent")
 	// ErrLost means that the request was sent, at least in part, and no complete answer to it was received.
 	ErrLost = errors.New("no complete answer received")
-	// ErrTooLarge means that the body of the answer exceeds the limit of the exchange.
+	// ErrTooLarge means that the body of the answer exceeds the limit of the exchange, or what is left to it beside the
+	// answers that are being read.
 	ErrTooLarge = errors.New("answer body exceeds the size limit")
 	errPoolFull = errors.New("all connections of the pool are in use")
 )
@@ -52,9 +54,12 @@
 // conn is one connection; between exchanges it is idle in the pool.
 type conn struct {
 	net.Conn
+	source  *limitedReader // what in reads from
 	in      *bufio.Reader
 	out     *bufio.Writer
-	expires time.Time
+	held    *budget     // of the pool
+	expires time.Time   // from here on it is not reused
+	expiry  *time.Timer // closes it then
 }
 
 // Pool holds the connections to one server.
@@ -62,6 +67,7 @@
 	addr     string
 	maxConns int
 	dial     Dial
+	held     *budget // for the bodies that are being read
 	mu       sync.Mutex
 	idle     []*conn // least recently used first
 	opened   int
@@ -69,7 +75,7 @@
 
 // NewPool returns a pool of at most maxConns connections to an IP address and port.
 func NewPool(addr string, maxConns int, dial Dial) *Pool {
-	return &Pool{addr: addr, maxConns: maxConns, dial: dial}
+	return &Pool{addr: addr, maxConns: maxConns, dial: dial, held: newBudget(maxHeldBytes)}
 }
 
 // acquire returns an idle connection that is usable, or opens one.
@@ -95,6 +101,7 @@
 	}
 	c := p.idle[last]
 	p.idle = p.idle[:last]
+	c.expiry.Stop()
 	return c
 }
 
@@ -111,7 +118,15 @@
 		p.connClosed()
 		return nil, fmt.Errorf("%w: %w", ErrUnsent, err)
 	}
-	return &conn{Conn: raw, in: bufio.NewReaderSize(raw, bufferSize), out: bufio.NewWriterSize(raw, bufferSize)}, nil
+	return newConn(raw, p.held), nil
+}
+
+func newConn(raw net.Conn, held *budget) *conn {
+	source := &limitedReader{r: raw}
+	return &conn{
+		Conn: raw, source: source, held: held,
+		in: bufio.NewReaderSize(source, bufferSize), out: bufio.NewWriterSize(raw, bufferSize),
+	}
 }
 
 func (p *Pool) connClosed() {
@@ -125,20 +140,26 @@
 	p.connClosed()
 }
 
-// release returns a connection to the pool for the idle time, and closes the connections whose idle time is over.
+// release returns a connection to the pool, which closes it when the idle time is over.
 func (p *Pool) release(c *conn, idle time.Duration) {
-	now := time.Now()
-	c.expires = now.Add(idle)
 	p.mu.Lock()
-	var expired []*conn
-	for len(p.idle) > 0 && now.After(p.idle[0].expires) {
-		expired = append(expired, p.idle[0])
-		p.idle = p.idle[1:]
-	}
+	defer p.mu.Unlock()
+	c.expires = time.Now().Add(idle)
+	c.expiry = time.AfterFunc(idle, func() { p.expire(c) })
 	p.idle = append(p.idle, c)
+}
+
+// expire closes a connection if it is idle and its time is over; it may have been used since its timer fired.
+func (p *Pool) expire(c *conn) {
+	p.mu.Lock()
+	i := slices.Index(p.idle, c)
+	expired := i >= 0 && !time.Now().Before(c.expires)
+	if expired {
+		p.idle = slices.Delete(p.idle, i, i+1)
+	}
 	p.mu.Unlock()
-	for _, o := range expired {
-		p.discard(o)
+	if expired {
+		p.discard(c)
 	}
 }
 
