Send no request that has no time left for an answer

Cause: with less than 24 ms left a request was still sent, and with the whole time that the node itself would wait, so that the endpoint's own answer at its deadline came too late. Class: work begun without regard to the time that is left. Evidence: TestRequestWithoutTimeForAnAnswerIsNotSent failed before ('the request was sent'). Change: such a request is refused as not run. Ruled out: a longer margin for all requests; it takes time from every answer.

--- a/lib/node/exec.go
+++ b/lib/node/exec.go
@@ -21,6 +21,9 @@
 // its answer arrives in time and the connection can be kept.
 const deadlineMargin = 12 * time.Millisecond
 
+// minRunTime is the shortest time until a request's deadline with which an untraced node sends it to the backend server.
+const minRunTime = 2 * deadlineMargin
+
 // maxDeadlineMultiple bounds the runs that count as latency samples, as a multiple of the time that was left until the
 // deadline. A longer run was stuck in a suspended process.
 const maxDeadlineMultiple = 2
@@ -267,6 +270,9 @@
 // runBackend sends a request to the local backend server and records the outcome. If the context ended before the
 // answer, it also sends a request to the cancel path of the service, where the rules name one.
 func (n *Node) runBackend(ctx context.Context, r call.Request, service rules.Service, route string) call.Answer {
+	if n.settings.untraced && r.Deadline().Sub(n.clock.Now()) < minRunTime {
+		return refuse(r, verd.ReasonDeadline)
+	}
 	open := n.chain.Open(ctx, r)
 	defer n.chain.Close(open)
 	defer n.fanout.Ended(n.fanout.Started(route))
@@ -290,7 +296,7 @@
 	if local, ok := n.localEndpoint(); ok {
 		r = r.WithInstance(local.Instance())
 	}
-	if n.settings.untraced && r.Deadline().Sub(n.clock.Now()) > 2*deadlineMargin {
+	if n.settings.untraced {
 		return r.WithDeadline(r.Deadline().Add(-deadlineMargin))
 	}
 	return r
--- a/lib/node/untraced_test.go
+++ b/lib/node/untraced_test.go
@@ -315,3 +315,14 @@
 	<-stopped
 	is.Equal(exec(), verd.NotRun(verd.ReasonLeaving))
 }
+
+// TestRequestWithoutTimeForAnAnswerIsNotSent guards against requests that a backend server begins and nobody waits for.
+func TestRequestWithoutTimeForAnAnswerIsNotSent(t *testing.T) {
+	is := is.New(t)
+	n := readyUntraced(t, func(context.Context, call.Request) (call.Answer, bool) {
+		t.Error("the request was sent")
+		return call.NewAnswer(200, nil, nil), false
+	})
+	r := call.NewRequest("1", "GET", "/items/1", "").WithRoute("desk", false).WithDeadline(time.Now().Add(15 * time.Millisecond))
+	is.Equal(n.Exec(t.Context(), r).Verdict(), verd.NotRun(verd.ReasonDeadline))
+}
