--- a/lib/back/back_test.go
+++ b/lib/back/back_test.go
@@ -97,8 +97,7 @@
 	}
 }
 
-// TestEndlessAnswerMayHaveRun guards against reading on while a backend server sends without end, which would fill the
-// memory of the node.
+// TestEndlessAnswerMayHaveRun guards against an endless answer that fills the memory of the node.
 func TestEndlessAnswerMayHaveRun(t *testing.T) {
 	const (
 		sentAtMost = 32 << 20 // bytes, so that the test ends
@@ -129,8 +128,7 @@
 	}
 }
 
-// TestFieldsOfOneConnectionAreNotPassedOn guards against passing on a header field that the Connection field of the
-// response names (RFC 9110, section 7.6.1).
+// TestFieldsOfOneConnectionAreNotPassedOn guards against passing on a header field that the response's Connection names (RFC 9110, 7.6.1).
 func TestFieldsOfOneConnectionAreNotPassedOn(t *testing.T) {
 	is := is.New(t)
 	addr, _ := startRawServer(t, "HTTP/1.1 200 OK\r\nConnection: x-hop, keep-alive\r\nConnection: X-Other-Hop\r\n"+
--- a/lib/conns/endless_test.go
+++ b/lib/conns/endless_test.go
@@ -65,8 +65,7 @@
 	return false
 }
 
-// TestEndlessAnswerEndsTheExchange has a server send bytes without end: the exchange must end by itself, close the
-// connection, and report that the request may have run.
+// TestEndlessAnswerEndsTheExchange guards against an exchange that reads on while a server sends without end.
 func TestEndlessAnswerEndsTheExchange(t *testing.T) {
 	const (
 		own      = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n"
@@ -183,8 +182,7 @@
 	}
 }
 
-// TestLongAnswersShareAMemoryLimit has many answers grow long at the same time, which must neither fill the memory nor
-// keep short ones from being read.
+// TestLongAnswersShareAMemoryLimit guards against many long answers that fill the memory or keep short ones out.
 func TestLongAnswersShareAMemoryLimit(t *testing.T) {
 	const (
 		exchanges    = 20
--- a/lib/front/front_test.go
+++ b/lib/front/front_test.go
@@ -71,8 +71,7 @@
 	}
 }
 
-// TestFieldsOfOneConnectionAreNotPassedOn guards against passing on a header field that the Connection field of the
-// request names (RFC 9110, section 7.6.1).
+// TestFieldsOfOneConnectionAreNotPassedOn guards against passing on a header field that the request's Connection names (RFC 9110, 7.6.1).
 func TestFieldsOfOneConnectionAreNotPassedOn(t *testing.T) {
 	is := is.New(t)
 	header := http.Header{
--- a/lib/node/restore_test.go
+++ b/lib/node/restore_test.go
@@ -18,8 +18,7 @@
 	"tamarackrudder.org/lib/spread"
 )
 
-// TestPeersListFromBackupBringsNoEndpointBack guards against requests to an endpoint that this node knows as leaving, after a
-// peer that does not know it has read an older state from a restored platform and passed it on.
+// TestPeersListFromBackupBringsNoEndpointBack guards against a leaving endpoint that is live again in a peer's list from a backup.
 func TestPeersListFromBackupBringsNoEndpointBack(t *testing.T) {
 	is := is.New(t)
 	const self, peer, other = "10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"
--- a/lib/relay/relay_test.go
+++ b/lib/relay/relay_test.go
@@ -200,8 +200,7 @@
 	is.True(a.Verdict().HasRun())
 }
 
-// TestLostConnectionCancelsItsRequests guards against requests that run on, or begin to run, after the peer that sent them
-// is gone.
+// TestLostConnectionCancelsItsRequests guards against requests that run after the peer that sent them is gone.
 func TestLostConnectionCancelsItsRequests(t *testing.T) {
 	started, canceled := make(chan struct{}), make(chan struct{})
 	addr := serve(t, func(ctx context.Context, _ call.Request) call.Answer {
--- a/lib/relay/silent_test.go
+++ b/lib/relay/silent_test.go
@@ -133,8 +133,7 @@
 	is.Equal(dials, 1)
 }
 
-// TestRequestsEndInTimeWhilePeerDoesNotGreet guards against requests that are held past their deadlines while a connection to a
-// peer whose process is suspended is being opened.
+// TestRequestsEndInTimeWhilePeerDoesNotGreet guards against requests held past their deadlines by a suspended peer.
 func TestRequestsEndInTimeWhilePeerDoesNotGreet(t *testing.T) {
 	is := is.New(t)
 	addr := listen(t).Addr().String() // the kernel accepts connections
--- a/lib/roster/restore_test.go
+++ b/lib/roster/restore_test.go
@@ -37,8 +37,7 @@
 	return "live"
 }
 
-// TestBackupBringsNoEndpointBack guards against requests to an endpoint that is known as leaving or gone, after the platform
-// was restored from a backup that still lists it as live.
+// TestBackupBringsNoEndpointBack guards against a leaving or gone endpoint that a backup lists as live.
 func TestBackupBringsNoEndpointBack(t *testing.T) {
 	leave := func(table *roster.Table) { table.Put("a", beating(9).WithLeaving(), atEpoch(1, 9)) }
 	remove := func(table *roster.Table) { table.Remove("a", atEpoch(1, 9)) }
@@ -88,8 +87,7 @@
 	}
 }
 
-// TestReusedAddressStaysWithItsNewEndpoint guards against an endpoint that a backup brings back at an address that another
-// service has now.
+// TestReusedAddressStaysWithItsNewEndpoint guards against an endpoint of a backup whose address another service has now.
 func TestReusedAddressStaysWithItsNewEndpoint(t *testing.T) {
 	is := is.New(t)
 	c := clock.NewManual(start)
@@ -153,8 +151,7 @@
 	is.True(atEpoch(large+1, 1).Sequence() > atEpoch(large, 5).Sequence())
 }
 
-// TestHistoriesWithRestorations plays random histories of backend servers and of a platform that is restored from backups.
-// A server that is leaving or gone must not be listed as live again, and the list must be complete some time later.
+// TestHistoriesWithRestorations guards against lists that show what has left, or miss what lives, in random histories.
 func TestHistoriesWithRestorations(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld()
@@ -194,8 +191,7 @@
 	})
 }
 
-// TestSecondBackupBringsNoEndpointBack guards against an endpoint that is gone and comes back with a second backup, after an
-// entry of the first one had to be believed.
+// TestSecondBackupBringsNoEndpointBack guards against a gone endpoint that a second backup brings back.
 func TestSecondBackupBringsNoEndpointBack(t *testing.T) {
 	is := is.New(t)
 	c := clock.NewManual(start)
@@ -209,8 +205,7 @@
 	is.Equal(stateOf(t, table), "gone")
 }
 
-// TestDrainWithoutANewHeartbeatCounts guards against an endpoint that stays live for good because its drain was written without a
-// new heartbeat and read with a backup.
+// TestDrainWithoutANewHeartbeatCounts guards against a drain that is ignored since its heartbeat was known.
 func TestDrainWithoutANewHeartbeatCounts(t *testing.T) {
 	is := is.New(t)
 	table := roster.NewTable(clock.NewManual(start))
@@ -219,8 +214,7 @@
 	is.Equal(stateOf(t, table), "leaving")
 }
 
-// TestListOfTheNodeThatKnowsMoreWins guards against the list of a fresh node, which takes a backup for the present, replacing
-// the list of nodes that know what has left.
+// TestListOfTheNodeThatKnowsMoreWins guards against a fresh node's list from a backup that replaces what others know.
 func TestListOfTheNodeThatKnowsMoreWins(t *testing.T) {
 	is := is.New(t)
 	c := clock.NewManual(start)
--- a/lib/roster/roster_test.go
+++ b/lib/roster/roster_test.go
@@ -95,8 +95,7 @@
 	}
 }
 
-// TestEndpointMissingFromBackupCountsForGracePeriod guards against an endpoint that is dropped at a restoration because it
-// registered after the backup was made. No outage is noticed before the restoration.
+// TestEndpointMissingFromBackupCountsForGracePeriod guards against dropping an endpoint that registered after the backup.
 func TestEndpointMissingFromBackupCountsForGracePeriod(t *testing.T) {
 	is := is.New(t)
 	c := clock.NewManual(start)
@@ -115,8 +114,7 @@
 	is.Equal(listed(t, table), map[string]string{"10.0.0.1": "desk"})
 }
 
-// TestReadingAgainDoesNotEndGracePeriod guards against an endpoint that is dropped early because the platform is read twice
-// after an outage.
+// TestReadingAgainDoesNotEndGracePeriod guards against an endpoint that is dropped early at a second reading.
 func TestReadingAgainDoesNotEndGracePeriod(t *testing.T) {
 	is := is.New(t)
 	c := clock.NewManual(start)
@@ -132,8 +130,7 @@
 	is.Equal(len(listed(t, table)), 0)
 }
 
-// TestNoChangeIsDueDuringOutage guards against a watch that never sleeps: an entry in its grace period when the next outage
-// begins does not expire before the platform is reachable again.
+// TestNoChangeIsDueDuringOutage guards against a watch that never sleeps when two outages follow each other closely.
 func TestNoChangeIsDueDuringOutage(t *testing.T) {
 	is := is.New(t)
 	c := clock.NewManual(start)
--- a/tamarackbench/fleet/stop_test.go
+++ b/tamarackbench/fleet/stop_test.go
@@ -106,8 +106,7 @@
 	is.Equal((<-s.running).status, http.StatusOK)
 }
 
-// TestRequestAtWorkWhenTheStopTimeoutEndsIsAnswered guards against a node that ends without an answer to a request that
-// its backend server still runs.
+// TestRequestAtWorkWhenTheStopTimeoutEndsIsAnswered guards against a node that ends without its last answers.
 func TestRequestAtWorkWhenTheStopTimeoutEndsIsAnswered(t *testing.T) {
 	is := is.New(t)
 	s := newStopping(t, "1s")
@@ -142,8 +141,7 @@
 	}
 }
 
-// TestStopSignalDuringAFreezeCountsFromTheFreeze guards against a node that takes requests until it is killed, since it was
-// frozen when the stop signal came.
+// TestStopSignalDuringAFreezeCountsFromTheFreeze guards against late requests of a node that was frozen at its stop signal.
 func TestStopSignalDuringAFreezeCountsFromTheFreeze(t *testing.T) {
 	is := is.New(t)
 	f := startSmall(t, "--stop-timeout", "3s", "--drain-delay", "1s")
