Bound the peers of a heartbeat round, and fetch lists of hosts as differences

Ruled out: differences by list version (two watchers publish different versions, so a peer rarely has the same base); differences by the position of each entry (removals would need tombstones in every node). A digest of 64 ranges of addresses needs neither and always leads to the peer's exact list. Change: lib/mesh chooses at most 8 neighbors by rendezvous hashing, most in the own zone; new crash marks are passed on at once; one fetch of a value at a time; hosts.Diff over a new message, whole lists from peers that do not know it; a connection to a peer that answers with an error is kept. Tests: mesh at 30, 100, 300 and 530 nodes in simulated time; differences by random lists; relay and node with lost differences and peers of the older version.

--- a/lib/crash/crash.go
+++ b/lib/crash/crash.go
@@ -94,33 +94,38 @@
 }
 
 // Merge adds the crashes in the marks of a peer, except those that are recorded already or have expired. Marks of further
-// fingerprints are dropped while the table is full.
-func (t *Table) Merge(marks []Mark) {
+// fingerprints are dropped while the table is full. It reports whether any crash was added.
+func (t *Table) Merge(marks []Mark) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	added := false
 	for _, m := range marks {
-		t.merge(m)
+		added = t.merge(m) || added
 	}
+	return added
 }
 
-func (t *Table) merge(m Mark) {
+func (t *Table) merge(m Mark) bool {
 	mark, ok := t.marks[m.fingerprint]
 	if !ok && len(t.marks) >= maxMarks {
 		t.prune()
 		if len(t.marks) >= maxMarks {
-			return
+			return false
 		}
 	}
+	added := false
 	mark.fingerprint = m.fingerprint
 	for _, c := range m.crashes {
 		recorded := slices.ContainsFunc(mark.crashes, c.equal)
 		if !recorded && !t.isExpired(c) {
 			mark.crashes = append(slices.Clone(mark.crashes), c)
+			added = true
 		}
 	}
 	if len(mark.crashes) > 0 {
 		t.marks[m.fingerprint] = mark
 	}
+	return added
 }
 
 func (t *Table) isExpired(c Crash) bool { return t.clock.Now().Round(0).Sub(c.at) >= crashTTL }
--- a/lib/gossip/messages.go
+++ b/lib/gossip/messages.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"errors"
 	"time"
 
 	"tamarackrudder.org/lib/claims"
@@ -9,6 +10,9 @@
 	"tamarackrudder.org/lib/spread"
 )
 
+// ErrUnsupported means that a peer does not know a message, since it is of an older version.
+var ErrUnsupported = errors.New("peer does not know this message")
+
 // Heartbeat is a heartbeat or the reply to one.
 type Heartbeat struct {
 	from    string
--- /dev/null
+++ b/lib/hosts/main_test.go
@@ -0,0 +1,9 @@
+package hosts_test
+
+import (
+	"testing"
+
+	"tamarackrudder.org/lib/seeds"
+)
+
+func TestMain(m *testing.M) { seeds.Main(m, 21, 300, 40) }
--- a/lib/node/common.go
+++ b/lib/node/common.go
@@ -126,6 +126,9 @@
 	Heartbeat func(ctx context.Context, addr string, h gossip.Heartbeat) (gossip.Heartbeat, error)
 	// Fetch gets a peer's published value.
 	Fetch func(ctx context.Context, addr, name string) (spread.Value, error)
+	// FetchHosts gets the difference from the list of hosts with the given digest to a peer's, gossip.ErrUnsupported from a
+	// peer that sends no differences; if it is nil, whole lists are fetched.
+	FetchHosts func(ctx context.Context, addr string, known hosts.Digest) (hosts.Diff, error)
 	// Handover sends claims to a peer.
 	Handover func(ctx context.Context, addr string, h gossip.Handover) error
 	// Reclaim asks a peer for the keys that an earlier incarnation of this endpoint has lost.
@@ -142,6 +145,8 @@
 	DecodeRules func(text []byte) (*rules.Set, error)
 	// DecodeList parses a list of hosts.
 	DecodeList func(sequence uint64, text []byte) (*hosts.List, error)
+	// EncodeList returns a list of hosts in the format that DecodeList parses.
+	EncodeList func(list *hosts.List) ([]byte, error)
 	// NewID creates a unique identifier.
 	NewID func() string
 	// Random returns a random number in [0, 1).
--- a/lib/node/control.go
+++ b/lib/node/control.go
@@ -10,16 +10,14 @@
 
 	"tamarackrudder.org/lib/gossip"
 	"tamarackrudder.org/lib/lease"
-	"tamarackrudder.org/lib/spread"
 )
 
 const (
 	// randomPeerRounds is the number of heartbeat rounds after which one heartbeat also goes to a random peer of any
 	// service.
 	randomPeerRounds = 4
-	// pushFanout is the number of random peers of any service that get a heartbeat at once after a change (Demers et
-	// al., "Epidemic Algorithms for Replicated Database Maintenance", 1987).
-	pushFanout       = 4
+	// maxSilentProbed bounds the silent endpoints that get a heartbeat in one round.
+	maxSilentProbed  = 8
 	heartbeatTimeout = time.Second
 )
 
@@ -33,28 +31,28 @@
 
 func (n *Node) heartbeatLoop() {
 	for {
-		fanout := 0
+		randomPeers := 0
 		select {
 		case <-n.ctx.Done():
 			return
 		case <-n.heartbeatTrigger:
-			fanout = pushFanout
 		case <-n.clock.After(n.settings.heartbeatInterval):
 			n.heartbeatRounds++
 			if n.heartbeatRounds%randomPeerRounds == 0 {
-				fanout = 1
+				randomPeers = 1
 			}
 		}
-		n.heartbeatRound(fanout)
+		n.heartbeatRound(randomPeers)
 	}
 }
 
-// heartbeatRound sends heartbeats to the peers of this service, to as many random peers of any service as fanout says,
-// and to the endpoints that the picker has marked as silent, so that no request is spent on finding out whether they
-// answer again. It does not wait for the replies.
-func (n *Node) heartbeatRound(fanout int) {
+// heartbeatRound sends heartbeats to this node's neighbors, to the given number of random peers of any service, and to some
+// of the endpoints that the picker has marked as silent, so that no request is spent on finding out whether they answer
+// again. It does not wait for the replies. News spreads from neighbor to neighbor (Demers et al., "Epidemic Algorithms for
+// Replicated Database Maintenance", 1987).
+func (n *Node) heartbeatRound(randomPeers int) {
 	sameService := n.servicePeers()
-	targets := slices.Concat(sameService, n.randomPeers(fanout), n.picker.MarkedSilent())
+	targets := slices.Concat(sameService, n.otherPeers(), n.randomPeers(randomPeers), n.silentPeers())
 	var round sync.WaitGroup
 	for _, addr := range slices.Compact(slices.Sorted(slices.Values(targets))) {
 		if !n.startHeartbeat(addr) {
@@ -69,20 +67,36 @@
 	}()
 }
 
-// servicePeers returns the addresses of the other endpoints of this node's service; with leases, also those of older
-// lists that may still be in use.
+// servicePeers returns the addresses of the neighbors of this node's service; with leases, those of all its endpoints, also
+// of older lists that may still be in use.
 func (n *Node) servicePeers() []string {
-	list := n.hosts.Load()
-	if n.Leased() || list == nil {
+	neighbors := n.neighbors.Load()
+	if n.Leased() || neighbors == nil {
 		return n.group.Peers()
 	}
-	var peers []string
-	for _, e := range list.Members(n.settings.service) {
-		if e.RPCAddr() != n.settings.self {
-			peers = append(peers, e.RPCAddr())
-		}
+	return neighbors.Service()
+}
+
+// otherPeers returns the addresses of the neighbors of any service, or the seeds while no list or no rules are in force.
+func (n *Node) otherPeers() []string {
+	neighbors := n.neighbors.Load()
+	if neighbors == nil {
+		return n.settings.seeds
 	}
-	return peers
+	if n.rules.Load() == nil {
+		return slices.Concat(n.settings.seeds, neighbors.Others())
+	}
+	return neighbors.Others()
+}
+
+// silentPeers returns the addresses of up to maxSilentProbed endpoints that are marked as silent, from a random one on.
+func (n *Node) silentPeers() []string {
+	silent := n.picker.MarkedSilent()
+	if len(silent) <= maxSilentProbed {
+		return silent
+	}
+	first := int(n.seams.Random() * float64(len(silent)))
+	return slices.Concat(silent[first:], silent[:first])[:maxSilentProbed]
 }
 
 // leaseStateFor returns the lease state to send to a peer, empty if no route in force needs leases.
@@ -93,23 +107,17 @@
 	return n.group.StateFor(addr)
 }
 
-// randomPeers returns up to count random endpoints of the list of hosts, or the seeds while no list or no rules are in
-// force.
+// randomPeers returns up to count random endpoints of the list of hosts, none while there is no list.
 func (n *Node) randomPeers(count int) []string {
 	list := n.hosts.Load()
-	if list == nil || n.rules.Load() == nil {
-		return n.settings.seeds
+	if list == nil || len(list.Endpoints()) == 0 {
+		return nil
 	}
 	endpoints := list.Endpoints()
 	peers := make([]string, 0, count)
 	for range count {
-		if len(endpoints) == 0 {
-			break
-		}
-		e := endpoints[int(n.seams.Random()*float64(len(endpoints)))]
-		if e.RPCAddr() != n.settings.self {
-			peers = append(peers, e.RPCAddr())
-		}
+		e := endpoints[min(len(endpoints)-1, int(n.seams.Random()*float64(len(endpoints))))]
+		peers = append(peers, e.RPCAddr())
 	}
 	return peers
 }
@@ -185,7 +193,9 @@
 }
 
 func (n *Node) applyHeartbeat(h gossip.Heartbeat) {
-	n.crashes.Merge(h.Marks())
+	if n.crashes.Merge(h.Marks()) {
+		n.triggerHeartbeat() // the neighbors of this node's neighbors hear of the crash only through it
+	}
 	if h.Leaving() {
 		n.picker.MarkLeaving(h.From())
 	}
@@ -195,44 +205,6 @@
 	return h.Rules().Supersedes(n.rulesStore.Current().Stamp()) || h.Hosts().Supersedes(n.hostsStore.Current().Stamp())
 }
 
-// fetchNewer fetches the values of which a heartbeat reports a newer version from its sender.
-func (n *Node) fetchNewer(ctx context.Context, h gossip.Heartbeat) {
-	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
-	defer cancel()
-	if h.Rules().Supersedes(n.rulesStore.Current().Stamp()) {
-		n.fetch(ctx, h.From(), NameRules, n.rulesStore)
-	}
-	if h.Hosts().Supersedes(n.hostsStore.Current().Stamp()) {
-		n.fetch(ctx, h.From(), NameHosts, n.hostsStore)
-	}
-}
-
-func (n *Node) fetch(ctx context.Context, addr, name string, store *spread.Store) {
-	v, err := n.seams.Fetch(ctx, addr, name)
-	if err != nil {
-		return
-	}
-	n.offerValue(name, store, v.Sequence(), v.Text(), addr)
-}
-
-func (n *Node) offerValue(name string, store *spread.Store, sequence uint64, text []byte, source string) {
-	if _, err := store.Offer(sequence, text); err != nil {
-		_ = level.Error(n.log).Log("msg", "published value refused, the one in force stays", "name", name,
-			"sequence", sequence, "from", source, "err", err)
-	}
-}
-
-// Fetch returns the published value of a name that is in force here, for a peer; the zero Value for an unknown name.
-func (n *Node) Fetch(name string) spread.Value {
-	switch name {
-	case NameRules:
-		return n.rulesStore.Current()
-	case NameHosts:
-		return n.hostsStore.Current()
-	}
-	return spread.Value{}
-}
-
 // markReady marks the node as ready to serve if rules and a list of hosts are in force. It runs at the end of a heartbeat
 // round, when newer values that the replies reported have been fetched.
 func (n *Node) markReady() {
--- /dev/null
+++ b/lib/node/fetch_test.go
@@ -0,0 +1,100 @@
+package node_test
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+
+	"tamarackrudder.org/lib/call"
+	"tamarackrudder.org/lib/clock"
+	"tamarackrudder.org/lib/gossip"
+	"tamarackrudder.org/lib/hosts"
+	"tamarackrudder.org/lib/node"
+	"tamarackrudder.org/lib/plat"
+	"tamarackrudder.org/lib/spread"
+)
+
+// listed returns a list with the endpoint of the node under test and those at the other addresses.
+func listed(t *testing.T, version uint64, others ...string) *hosts.List {
+	t.Helper()
+	endpoints := []hosts.Endpoint{hosts.NewEndpoint("desk", "h", "z0", "10.0.0.1:1", false)}
+	for _, addr := range others {
+		endpoints = append(endpoints, hosts.NewEndpoint("desk", "h", "z0", addr, false))
+	}
+	list, err := hosts.NewList(version, endpoints)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return list
+}
+
+// TestNewerListIsFetchedAsDifference lets a peer announce a newer list, which the node fetches as a difference, or whole
+// from a peer that knows no differences.
+func TestNewerListIsFetchedAsDifference(t *testing.T) {
+	const peer = "10.0.0.2:1"
+	older, newer := listed(t, 1, peer, "10.0.0.3:1"), listed(t, 2, peer, "10.0.0.4:1")
+	errLost := errors.New("difference is lost")
+	tests := []struct {
+		name   string
+		failed []error // the errors of the first fetches of differences
+		whole  int64
+	}{
+		{"difference", nil, 0},
+		{"lost difference", []error{errLost, errLost}, 0},
+		{"peer of an older version", []error{gossip.ErrUnsupported}, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			var diffs, whole atomic.Int64
+			n := node.New(node.NewCommon(clock.System{}, log.NewNopLogger(),
+				node.NewSettings("10.0.0.1:1", "desk", "z0").WithUntraced().WithAlwaysWatch().WithHeartbeat(10*time.Millisecond), node.Seams{
+					Watch: func(ctx context.Context, name string, after uint64, _ time.Duration) (uint64, []byte, error) {
+						if after == 0 && name == node.NameRules {
+							return 1, []byte(untracedRules), nil
+						}
+						if after == 0 {
+							text, err := plat.EncodeList(older)
+							return 1, text, err
+						}
+						<-ctx.Done()
+						return 0, nil, ctx.Err()
+					},
+					Heartbeat: func(_ context.Context, addr string, _ gossip.Heartbeat) (gossip.Heartbeat, error) {
+						return gossip.NewHeartbeat(addr, false, spread.Stamp{}, spread.NewStamp(2, 2)), nil
+					},
+					FetchHosts: func(_ context.Context, _ string, known hosts.Digest) (hosts.Diff, error) {
+						i := int(diffs.Add(1)) - 1
+						if i < len(test.failed) {
+							return hosts.Diff{}, test.failed[i]
+						}
+						return newer.DiffFrom(known, 2), nil
+					},
+					Fetch: func(context.Context, string, string) (spread.Value, error) {
+						whole.Add(1)
+						text, err := plat.EncodeList(newer)
+						return spread.NewValue(2, 2, text), err
+					},
+					Run:        func(context.Context, call.Request, string, int) (call.Answer, bool) { return call.Answer{}, false },
+					Probe:      func(context.Context) bool { return true },
+					DecodeList: plat.DecodeList,
+					EncodeList: plat.EncodeList,
+					NewID:      uuid.NewString,
+					Random:     func() float64 { return 0.5 },
+				}))
+			t.Cleanup(n.Close)
+			for end := time.Now().Add(waitTimeout); n.Fetch(node.NameHosts).Version() != 2; time.Sleep(time.Millisecond) {
+				is.True(time.Now().Before(end))
+			}
+			is.Equal(n.Hosts().Endpoints(), newer.Endpoints())
+			is.Equal(whole.Load(), test.whole)
+			is.Equal(len(n.FetchHosts(newer.Digest()).Ranges()), 0)
+		})
+	}
+}
--- a/lib/node/node.go
+++ b/lib/node/node.go
@@ -18,6 +18,7 @@
 	"tamarackrudder.org/lib/hosts"
 	"tamarackrudder.org/lib/lease"
 	"tamarackrudder.org/lib/limit"
+	"tamarackrudder.org/lib/mesh"
 	"tamarackrudder.org/lib/origin"
 	"tamarackrudder.org/lib/picker"
 	"tamarackrudder.org/lib/press"
@@ -50,6 +51,8 @@
 	hostsStore    *spread.Store
 	rules         atomic.Pointer[rules.Set]
 	hosts         atomic.Pointer[hosts.List]
+	published     atomic.Pointer[publishedList]
+	neighbors     atomic.Pointer[mesh.Neighbors]
 	ready         atomic.Bool
 	leaving       atomic.Bool
 	stopping      atomic.Bool
@@ -93,6 +96,7 @@
 	mu                 sync.Mutex
 	tenantRequests     map[string]int
 	heartbeatsInFlight map[string]bool
+	fetching           map[string]bool // by the name of the value
 	lastReplyAt        time.Time
 	heartbeatRounds    int
 }
@@ -124,6 +128,7 @@
 		serving:          newInFlightCounter(), executing: newInFlightCounter(),
 		tenantRequests:     map[string]int{},
 		heartbeatsInFlight: map[string]bool{},
+		fetching:           map[string]bool{},
 		lastReplyAt:        c.Now(),
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
@@ -193,8 +198,11 @@
 	if err != nil {
 		return
 	}
+	n.published.Store(&publishedList{list: list, sequence: v.Sequence()})
 	list = list.KeepLeaving(n.hosts.Load())
 	n.hosts.Store(list)
+	neighbors := mesh.Choose(list, n.settings.self, n.settings.service, n.settings.zone)
+	n.neighbors.Store(&neighbors)
 	n.origin.SetServices(list.Services())
 	if n.settings.untraced {
 		n.retries.SetSlack(n.settings.retrySlack / float64(max(1, len(list.Endpoints()))))
--- a/lib/relay/peers.go
+++ b/lib/relay/peers.go
@@ -200,11 +200,14 @@
 	case <-ctx.Done():
 		return fmt.Errorf("%w: %w", errUnreachable, ctx.Err())
 	}
-	if pending.Error != nil {
+	if pending.Error == nil {
+		return nil
+	}
+	var refused rpc.ServerError
+	if !errors.As(pending.Error, &refused) { // the connection of a peer that answers with an error works
 		p.drop(addr, client)
-		return fmt.Errorf("%s at %s: %w", method, addr, pending.Error)
 	}
-	return nil
+	return fmt.Errorf("%s at %s: %w", method, addr, pending.Error)
 }
 
 // Heartbeat sends a heartbeat to a peer and returns the heartbeat that the peer replies with.
--- a/lib/relay/server.go
+++ b/lib/relay/server.go
@@ -11,6 +11,7 @@
 
 	"tamarackrudder.org/lib/call"
 	"tamarackrudder.org/lib/gossip"
+	"tamarackrudder.org/lib/hosts"
 	"tamarackrudder.org/lib/lease"
 	"tamarackrudder.org/lib/spread"
 )
@@ -26,6 +27,8 @@
 	Heartbeat func(b gossip.Heartbeat) gossip.Heartbeat
 	// Fetch returns the published value of a name, such as the rules, that this node has in force.
 	Fetch func(name string) spread.Value
+	// FetchHosts returns the difference from the list of hosts with the given digest to this node's.
+	FetchHosts func(known hosts.Digest) hosts.Diff
 	// Handover stores a part of the claims of a peer that released its keys.
 	Handover func(h gossip.Handover) error
 	// Reclaim ends this endpoint's ownership of the keys of a restarted peer, and returns this endpoint's claims.
--- a/lib/relay/wire.go
+++ b/lib/relay/wire.go
@@ -155,6 +155,35 @@
 	Text     []byte
 }
 
+// EndpointWire is the wire format of an endpoint of the list of hosts; times are Unix time in milliseconds, zero where they
+// are not known.
+type EndpointWire struct {
+	Service    string
+	Host       string
+	Zone       string
+	Addr       string
+	Leaving    bool
+	Instance   string
+	Slots      int
+	Started    int64
+	WarmAt     int64
+	Heartbeats int64
+}
+
+// DigestWire is the wire format of the digest of a list of hosts, with one hash for each range of addresses.
+type DigestWire struct {
+	Ranges []uint64
+}
+
+// DiffWire is the wire format of the difference between two lists of hosts: all endpoints that the newer one has in the
+// ranges that differ. Version and Sequence are the stamp of the newer one.
+type DiffWire struct {
+	Version   uint64
+	Sequence  uint64
+	Ranges    []int
+	Endpoints []EndpointWire
+}
+
 // ClaimWire is the wire format of the claim of an idempotency key; ExpiresNano is Unix time in nanoseconds.
 type ClaimWire struct {
 	Key         string
