Leave the store to two watchers in each availability zone

Ruled out: nodes that never read the store (a fresh node would believe its peers alone); a protocol in which watchers vouch for their connection to the store (the checks of all nodes, four a second in the fleet, find what all watchers missed, whether they are cut off, dead or stale). Change: a node that is ready, hears its peers, and has two watchers besides it in its zone reads the store once and watches nothing; its checks compare the store with what is in force, however that came. It follows the store again when the list makes it a watcher, when no peer answers, and, once, when a check finds it behind.

--- a/lib/node/checks.go
+++ b/lib/node/checks.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -42,16 +43,40 @@
 		return minCheckInterval
 	}
 	list := n.hosts.Load()
-	n.mu.Lock()
-	isolated := c.clock.Now().Sub(n.lastReplyAt) > isolatedAfter
-	n.mu.Unlock()
-	if isolated || list == nil {
+	if list == nil || c.isIsolated(n) {
 		return minCheckInterval
 	}
 	interval := time.Duration(len(list.Endpoints())) * time.Second / checksPerSecond
 	return min(maxCheckInterval, max(minCheckInterval, interval))
 }
 
+func (c *Checks) isIsolated(n *Node) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return c.clock.Now().Sub(n.lastReplyAt) > isolatedAfter
+}
+
+// Standby reports whether the watchers of the node's availability zone follow the platform for it, so that it needs no watch
+// of its own: it is ready and not isolated, and there are as many watchers as there should be besides it. Changes that all
+// watchers have missed are found by the checks, which a node makes in any case.
+func (c *Checks) Standby() bool {
+	n := c.node.Load()
+	if n == nil || !n.Ready() || c.isIsolated(n) {
+		return false
+	}
+	watchers := n.hosts.Load().Watchers(n.settings.zone, watchersPerZone)
+	return len(watchers) == watchersPerZone && !slices.Contains(watchers, n.settings.self)
+}
+
+// Known returns the version of the list of hosts and the sequence of the rules that are in force, zero before the first.
+func (c *Checks) Known() (hostsVersion, rulesSequence uint64) {
+	n := c.node.Load()
+	if n == nil {
+		return 0, 0
+	}
+	return n.hostsStore.Current().Version(), n.rulesStore.Current().Sequence()
+}
+
 // Coalesce returns how long to wait after a change, so that further ones are read with it. The changes of all endpoints
 // reach every node, so without the wait the number of requests would grow with the square of the number of nodes.
 func (c *Checks) Coalesce() time.Duration {
--- /dev/null
+++ b/lib/node/checks_test.go
@@ -0,0 +1,59 @@
+package node_test
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tamarackrudder.org/lib/clock"
+	"tamarackrudder.org/lib/gossip"
+	"tamarackrudder.org/lib/node"
+	"tamarackrudder.org/lib/spread"
+)
+
+// TestStandby checks that a node leaves the platform to its zone's watchers only while there are enough besides it, and only
+// as long as peers answer.
+func TestStandby(t *testing.T) {
+	const self = "10.0.0.1:1"
+	others := []string{"10.0.0.2:1", "10.0.0.3:1", "10.0.0.4:1", "10.0.0.5:1", "10.0.0.6:1"}
+	if slices.Contains(listed(t, 1, others...).Watchers("z0", 2), self) {
+		t.Fatal("the node under test is a watcher itself")
+	}
+	tests := []struct {
+		name   string
+		others []string
+		cut    bool
+		want   bool
+	}{
+		{"two watchers besides it", others, false, true},
+		{"one other node", others[:1], false, false},
+		{"no peer answers", others, true, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			var cut atomic.Bool
+			seams := listSeams(t, listed(t, 1, test.others...))
+			seams.Heartbeat = func(_ context.Context, addr string, _ gossip.Heartbeat) (gossip.Heartbeat, error) {
+				if cut.Load() {
+					return gossip.Heartbeat{}, errCut
+				}
+				return gossip.NewHeartbeat(addr, false, spread.Stamp{}, spread.Stamp{}), nil
+			}
+			n := newListNode(seams)
+			t.Cleanup(n.Close)
+			checks := node.NewChecks(clock.System{})
+			is.True(!checks.Standby()) // without a node nobody follows the platform
+			checks.Follow(n)
+			awaitReady(t, n)
+			cut.Store(test.cut)
+			for end := time.Now().Add(5 * time.Second); checks.Standby() != test.want; time.Sleep(time.Millisecond) {
+				is.True(time.Now().Before(end))
+			}
+		})
+	}
+}
--- a/lib/node/fetch_test.go
+++ b/lib/node/fetch_test.go
@@ -34,6 +34,38 @@
 	return list
 }
 
+// listSeams returns the seams of a node for which the platform publishes rules and a list of hosts once.
+func listSeams(t *testing.T, list *hosts.List) node.Seams {
+	t.Helper()
+	text, err := plat.EncodeList(list)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return node.Seams{
+		Watch: func(ctx context.Context, name string, after uint64, _ time.Duration) (uint64, []byte, error) {
+			switch {
+			case after == 0 && name == node.NameRules:
+				return 1, []byte(untracedRules), nil
+			case after == 0:
+				return 1, text, nil
+			}
+			<-ctx.Done()
+			return 0, nil, ctx.Err()
+		},
+		Run:        func(context.Context, call.Request, string, int) (call.Answer, bool) { return call.Answer{}, false },
+		Probe:      func(context.Context) bool { return true },
+		DecodeList: plat.DecodeList,
+		EncodeList: plat.EncodeList,
+		NewID:      uuid.NewString,
+		Random:     func() float64 { return 0.5 },
+	}
+}
+
+func newListNode(seams node.Seams) *node.Node {
+	settings := node.NewSettings("10.0.0.1:1", "desk", "z0").WithUntraced().WithAlwaysWatch().WithHeartbeat(10 * time.Millisecond)
+	return node.New(node.NewCommon(clock.System{}, log.NewNopLogger(), settings, seams))
+}
+
 // TestNewerListIsFetchedAsDifference lets a peer announce a newer list, which the node fetches as a difference, or whole
 // from a peer that knows no differences.
 func TestNewerListIsFetchedAsDifference(t *testing.T) {
@@ -53,41 +85,23 @@
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
 			var diffs, whole atomic.Int64
-			n := node.New(node.NewCommon(clock.System{}, log.NewNopLogger(),
-				node.NewSettings("10.0.0.1:1", "desk", "z0").WithUntraced().WithAlwaysWatch().WithHeartbeat(10*time.Millisecond), node.Seams{
-					Watch: func(ctx context.Context, name string, after uint64, _ time.Duration) (uint64, []byte, error) {
-						if after == 0 && name == node.NameRules {
-							return 1, []byte(untracedRules), nil
-						}
-						if after == 0 {
-							text, err := plat.EncodeList(older)
-							return 1, text, err
-						}
-						<-ctx.Done()
-						return 0, nil, ctx.Err()
-					},
-					Heartbeat: func(_ context.Context, addr string, _ gossip.Heartbeat) (gossip.Heartbeat, error) {
-						return gossip.NewHeartbeat(addr, false, spread.Stamp{}, spread.NewStamp(2, 2)), nil
-					},
-					FetchHosts: func(_ context.Context, _ string, known hosts.Digest) (hosts.Diff, error) {
-						i := int(diffs.Add(1)) - 1
-						if i < len(test.failed) {
-							return hosts.Diff{}, test.failed[i]
-						}
-						return newer.DiffFrom(known, 2), nil
-					},
-					Fetch: func(context.Context, string, string) (spread.Value, error) {
-						whole.Add(1)
-						text, err := plat.EncodeList(newer)
-						return spread.NewValue(2, 2, text), err
-					},
-					Run:        func(context.Context, call.Request, string, int) (call.Answer, bool) { return call.Answer{}, false },
-					Probe:      func(context.Context) bool { return true },
-					DecodeList: plat.DecodeList,
-					EncodeList: plat.EncodeList,
-					NewID:      uuid.NewString,
-					Random:     func() float64 { return 0.5 },
-				}))
+			seams := listSeams(t, older)
+			seams.Heartbeat = func(_ context.Context, addr string, _ gossip.Heartbeat) (gossip.Heartbeat, error) {
+				return gossip.NewHeartbeat(addr, false, spread.Stamp{}, spread.NewStamp(2, 2)), nil
+			}
+			seams.FetchHosts = func(_ context.Context, _ string, known hosts.Digest) (hosts.Diff, error) {
+				i := int(diffs.Add(1)) - 1
+				if i < len(test.failed) {
+					return hosts.Diff{}, test.failed[i]
+				}
+				return newer.DiffFrom(known, 2), nil
+			}
+			seams.Fetch = func(context.Context, string, string) (spread.Value, error) {
+				whole.Add(1)
+				text, err := plat.EncodeList(newer)
+				return spread.NewValue(2, 2, text), err
+			}
+			n := newListNode(seams)
 			t.Cleanup(n.Close)
 			for end := time.Now().Add(waitTimeout); n.Fetch(node.NameHosts).Version() != 2; time.Sleep(time.Millisecond) {
 				is.True(time.Now().Before(end))
--- a/lib/roster/position.go
+++ b/lib/roster/position.go
@@ -50,3 +50,6 @@
 
 // Sequence returns a number that orders positions: the epoch in the high bits, the revision in the low ones.
 func (p Position) Sequence() uint64 { return p.epoch<<revisionBits | p.revision }
+
+// SequenceOf returns the sequence of the platform's position that a list of hosts with the given version was made at.
+func SequenceOf(listVersion uint64) uint64 { return listVersion >> localChangeBits }
--- a/tamarackd/wiring/platform.go
+++ b/tamarackd/wiring/platform.go
@@ -17,6 +17,7 @@
 	"tamarackrudder.org/lib/front"
 	"tamarackrudder.org/lib/node"
 	"tamarackrudder.org/lib/relay"
+	"tamarackrudder.org/lib/roster"
 	"tamarackrudder.org/platform"
 )
 
@@ -85,7 +86,7 @@
 	_, peerPort, _ := net.SplitHostPort(s.rpcAddr)
 	checks := node.NewChecks(clock.System{})
 	feed := platform.NewFeed(ctx, platform.NewStore(s.platformAddr), clock.System{}, logger, peerPort,
-		platform.Intervals{Check: checks.Pause, Coalesce: checks.Coalesce})
+		platform.Intervals{Check: checks.Pause, Coalesce: checks.Coalesce, Standby: checks.Standby, Known: knownSequence(checks)})
 	nodeSettings := node.NewSettings(s.rpcAddr, s.service, s.zone).WithHeartbeat(s.heartbeat).WithControl(node.Control(s.control)).
 		WithUntraced().WithAlwaysWatch().WithRetries(platformSettings.RetryRatio()*retryBudgetFraction,
 		platformSettings.RetrySlack()*retryBudgetFraction, platformSettings.RetryWindow())
@@ -96,6 +97,14 @@
 	return n
 }
 
+// knownSequence returns a function that returns the sequence of the newest change of the store that is in force.
+func knownSequence(checks *node.Checks) func() uint64 {
+	return func() uint64 {
+		hostsVersion, rulesSequence := checks.Known()
+		return max(roster.SequenceOf(hostsVersion), rulesSequence)
+	}
+}
+
 // readyActor serves the platform's readiness check at addr.
 func readyActor(ctx context.Context, addr string, ready func() bool) (actor, error) {
 	var config net.ListenConfig
--- a/tamarackd/wiring/wiring.go
+++ b/tamarackd/wiring/wiring.go
@@ -60,9 +60,10 @@
 // nodeSeams returns the functions with which a node calls its peers and its backend server and watches published values.
 func nodeSeams(peers *relay.Peers, backend *back.Client, watch watchFunc) node.Seams {
 	return node.Seams{
-		Exec: peers.Exec, Heartbeat: peers.Heartbeat, Fetch: peers.Fetch, Handover: peers.Handover, Reclaim: peers.Reclaim,
+		Exec: peers.Exec, Heartbeat: peers.Heartbeat, Fetch: peers.Fetch, FetchHosts: peers.FetchHosts,
+		Handover: peers.Handover, Reclaim: peers.Reclaim,
 		Run: backend.Run, Cancel: backend.Cancel, Probe: backend.Probe,
-		Watch: watch, DecodeList: plat.DecodeList,
+		Watch: watch, DecodeList: plat.DecodeList, EncodeList: plat.EncodeList,
 		NewID: uuid.NewString, Random: rand.Float64,
 	}
 }
@@ -106,8 +107,8 @@
 	server := newServer(callers)
 	ops := newServer(opsapi.NewHandler(n))
 	peers := relay.NewServer(listeners.rpc, relay.Handlers{
-		Exec: n.Exec, Heartbeat: n.HandleHeartbeat, Fetch: n.Fetch, Handover: n.HandleHandover,
-		Reclaim: n.HandleReclaim,
+		Exec: n.Exec, Heartbeat: n.HandleHeartbeat, Fetch: n.Fetch, FetchHosts: n.FetchHosts,
+		Handover: n.HandleHandover, Reclaim: n.HandleReclaim,
 	})
 	var group run.Group
 	group.Add(func() error { return serve(server, listeners.http) }, func(error) {
