Count bytes sent to peers by kind of message and location of the peer

Cause: the only count was that of all bytes, so a bill for traffic between zones could not be explained. Test: one exchange appears under its kinds.

--- a/lib/hosts/hosts.go
+++ b/lib/hosts/hosts.go
@@ -104,6 +104,7 @@
 	version   uint64
 	endpoints []Endpoint
 	members   map[string][]Endpoint
+	zones     map[string]string // by the IP address of the node
 }
 
 var errInvalidList = errors.New("invalid list of hosts")
@@ -128,9 +129,12 @@
 
 // newList returns the list of valid endpoints that are sorted by RPC address.
 func newList(version uint64, endpoints []Endpoint) *List {
-	l := &List{version: version, endpoints: endpoints, members: map[string][]Endpoint{}}
+	l := &List{version: version, endpoints: endpoints, members: map[string][]Endpoint{}, zones: map[string]string{}}
 	for _, e := range endpoints {
 		l.members[e.service] = append(l.members[e.service], e)
+		if ip, _, err := net.SplitHostPort(e.rpcAddr); err == nil {
+			l.zones[ip] = e.zone
+		}
 	}
 	return l
 }
@@ -158,6 +162,12 @@
 // Services returns the number of services that have endpoints.
 func (l *List) Services() int { return len(l.members) }
 
+// ZoneOf returns the availability zone of the host with an IP address, and whether an endpoint there is listed.
+func (l *List) ZoneOf(ip string) (string, bool) {
+	zone, ok := l.zones[ip]
+	return zone, ok
+}
+
 // KeepLeaving returns the list with those endpoints as leaving that an earlier list shows as leaving and that have written
 // no entry since. The earlier list may be nil.
 func (l *List) KeepLeaving(earlier *List) *List {
--- a/lib/node/status.go
+++ b/lib/node/status.go
@@ -32,6 +32,29 @@
 // Stopping reports whether Stop has been called.
 func (n *Node) Stopping() bool { return n.stopping.Load() }
 
+// The locations of a peer as seen from this node.
+const (
+	LocationOwnZone   = "ownZone"
+	LocationOtherZone = "otherZone"
+	LocationUnknown   = "unknown"
+)
+
+// Locate returns whether the host with an IP address is in this node's availability zone, as one of the locations.
+func (n *Node) Locate(ip string) string {
+	list := n.hosts.Load()
+	if list == nil {
+		return LocationUnknown
+	}
+	zone, ok := list.ZoneOf(ip)
+	switch {
+	case !ok:
+		return LocationUnknown
+	case zone == n.settings.zone:
+		return LocationOwnZone
+	}
+	return LocationOtherZone
+}
+
 // Rules returns the rules in force, nil before the first.
 func (n *Node) Rules() *rules.Set { return n.rules.Load() }
 
--- a/lib/relay/codec.go
+++ b/lib/relay/codec.go
@@ -7,7 +7,6 @@
 	"encoding/binary"
 	"encoding/gob"
 	"errors"
-	"expvar"
 	"fmt"
 	"io"
 	"net"
@@ -36,9 +35,6 @@
 	ErrVersion = errors.New("peer uses another protocol version")
 )
 
-// bytesSent counts the bytes of all messages that this process has sent to peers, with their frame headers.
-var bytesSent = expvar.NewInt("peerBytesSent")
-
 // framedConn sends and receives gob-encoded messages in frames: a header with the message's size, then the message. The
 // size is checked before a message is read, so that no peer can make this node buffer an unbounded one.
 type framedConn struct {
@@ -49,10 +45,12 @@
 	writeMu sync.Mutex
 	out     bytes.Buffer
 	encoder *gob.Encoder
+	locate  Locate
 }
 
-func newFramedConn(conn net.Conn) *framedConn {
-	f := &framedConn{conn: conn, in: bufio.NewReader(conn)}
+// newFramedConn returns a framed connection that counts what it sends by the location that locate returns, which may be nil.
+func newFramedConn(conn net.Conn, locate Locate) *framedConn {
+	f := &framedConn{conn: conn, in: bufio.NewReader(conn), locate: locate}
 	f.decoder = gob.NewDecoder(&f.frame)
 	f.encoder = gob.NewEncoder(&f.out)
 	return f
@@ -131,7 +129,7 @@
 		return fmt.Errorf("%w: %d bytes, limit is %d", errMessageTooLarge, len(frame)-frameHeaderSize, maxFrame)
 	}
 	binary.BigEndian.PutUint32(frame, uint32(len(frame)-frameHeaderSize))
-	bytesSent.Add(int64(len(frame)))
+	countSent(header, len(frame), f.conn.RemoteAddr(), f.locate)
 	if _, err := f.conn.Write(frame); err != nil {
 		_ = f.conn.Close()
 		return fmt.Errorf("write message to peer: %w", err)
--- a/lib/relay/diff_test.go
+++ b/lib/relay/diff_test.go
@@ -92,3 +92,26 @@
 	}
 	is.Equal(len(accepted), 1)
 }
+
+// TestSentBytesAreCountedByKindAndLocation guards against messages that are missing in the counts of one exchange.
+func TestSentBytesAreCountedByKindAndLocation(t *testing.T) {
+	is := is.New(t)
+	list, err := hosts.NewList(9, nil)
+	is.NoErr(err)
+	l := listen(t)
+	near := func(string) string { return "near" }
+	s := relay.NewServer(l, relay.Handlers{
+		FetchHosts: func(known hosts.Digest) hosts.Diff { return list.DiffFrom(known, 4) }, Locate: near,
+	})
+	go func() { _ = s.Serve() }()
+	t.Cleanup(s.Close)
+	peers := relay.NewPeers(relay.DialTCP)
+	peers.CountBy(near)
+	before := relay.BytesSent()
+	_, err = peers.FetchHosts(t.Context(), l.Addr().String(), hosts.NewDigest([]uint64{1, 2, 3}))
+	is.NoErr(err)
+	after := relay.BytesSent()
+	for _, kind := range []string{"FetchHosts.near", "FetchHostsReply.near"} {
+		is.True(after[kind] > before[kind])
+	}
+}
--- a/lib/relay/link.go
+++ b/lib/relay/link.go
@@ -42,7 +42,7 @@
 
 // replace makes a new connection the current one. A silent one before it stays open for a while, for answers to the requests
 // that were sent on it.
-func (l *link) replace(conn net.Conn) (*rpc.Client, *monitoredConn) {
+func (l *link) replace(conn net.Conn, locate Locate) (*rpc.Client, *monitoredConn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.client != nil {
@@ -50,7 +50,7 @@
 		time.AfterFunc(retiredConnTTL, func() { _ = silent.Close() })
 	}
 	l.conn = &monitoredConn{Conn: conn}
-	l.client = rpc.NewClientWithCodec(clientCodec{newFramedConn(l.conn)})
+	l.client = rpc.NewClientWithCodec(clientCodec{newFramedConn(l.conn, locate)})
 	return l.client, l.conn
 }
 
--- a/lib/relay/peers.go
+++ b/lib/relay/peers.go
@@ -44,14 +44,28 @@
 
 // Peers sends messages to other nodes, over one connection to each that is opened at the first message.
 type Peers struct {
-	dial  Dial
-	mu    sync.Mutex
-	links map[string]*link
+	dial   Dial
+	mu     sync.Mutex
+	links  map[string]*link
+	locate Locate
 }
 
 // NewPeers returns a sender that has no connections yet and opens them with dial.
 func NewPeers(dial Dial) *Peers { return &Peers{dial: dial, links: map[string]*link{}} }
 
+// CountBy lets sent bytes be counted by the location of the peer from the next connection on.
+func (p *Peers) CountBy(locate Locate) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.locate = locate
+}
+
+func (p *Peers) locator() Locate {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.locate
+}
+
 func (p *Peers) link(addr string) *link {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -88,7 +102,7 @@
 		_ = conn.Close()
 		return nil, nil, err
 	}
-	client, monitored := l.replace(conn)
+	client, monitored := l.replace(conn, p.locator())
 	return client, monitored, nil
 }
 
--- a/lib/relay/server.go
+++ b/lib/relay/server.go
@@ -33,6 +33,8 @@
 	Handover func(h gossip.Handover) error
 	// Reclaim ends this endpoint's ownership of the keys of a restarted peer, and returns this endpoint's claims.
 	Reclaim func(l lease.ReclaimRequest) gossip.ReclaimReply
+	// Locate returns the location of a peer by which sent bytes are counted; it may be nil.
+	Locate Locate
 }
 
 // Server accepts connections of peers and passes their messages to the handlers.
@@ -76,7 +78,7 @@
 	if err := server.RegisterName(serviceName, receiver); err != nil {
 		return
 	}
-	server.ServeCodec(serverCodec{framedConn: newFramedConn(conn), lost: cancel})
+	server.ServeCodec(serverCodec{framedConn: newFramedConn(conn, s.handlers.Locate), lost: cancel})
 }
 
 // track registers a connection to be closed with the server. It returns false if the server is closed already.
--- a/tamarackd/wiring/platform.go
+++ b/tamarackd/wiring/platform.go
@@ -94,6 +94,8 @@
 	seams.DecodeRules = platform.DecodeConfig
 	n := node.New(node.NewCommon(clock.System{}, logger, nodeSettings, seams))
 	checks.Follow(n)
+	peers.CountBy(n.Locate)
+	go logTraffic(ctx, logger)
 	return n
 }
 
