Play random histories of differences that are lost, late and doubled

Cause: differences apply to the list that they were asked for with, which may have been replaced when they come. Test only: replicas fetch from each other while lists are published; each must hold exactly the list of its version and never go back. Ruled out by it: a late or doubled difference that mixes two versions.

--- a/lib/hosts/diff_test.go
+++ b/lib/hosts/diff_test.go
@@ -82,3 +82,59 @@
 		t.Fatal("a difference with an endpoint outside its ranges was applied")
 	}
 }
+
+// transfer is a difference on its way from one replica to another, with the list that it was asked for with.
+type transfer struct {
+	to   int
+	base *hosts.List
+	diff hosts.Diff
+}
+
+// TestHistoriesOfDifferences lets replicas fetch differences from each other while lists are published; differences are lost,
+// late and doubled. A replica must never go back, and must hold exactly the list that was published as its version.
+func TestHistoriesOfDifferences(t *testing.T) {
+	const replicaCount = 4
+	rapid.Check(t, func(t *rapid.T) {
+		published := map[uint64]*hosts.List{}
+		replicas := make([]*hosts.List, replicaCount)
+		var pending []transfer
+		version := uint64(0)
+		adopt := func(i int, list *hosts.List) {
+			if replicas[i] == nil || list.Version() > replicas[i].Version() {
+				replicas[i] = list
+			}
+			if want := published[replicas[i].Version()]; !slices.Equal(replicas[i].Endpoints(), want.Endpoints()) {
+				t.Fatalf("version %d is %v, want %v", want.Version(), replicas[i].Endpoints(), want.Endpoints())
+			}
+		}
+		replica := rapid.IntRange(0, replicaCount-1)
+		t.Repeat(map[string]func(*rapid.T){
+			"publish": func(t *rapid.T) {
+				version++
+				published[version] = drawList(t, version)
+				adopt(replica.Draw(t, "watcher"), published[version])
+			},
+			"fetch": func(t *rapid.T) {
+				to, from := replica.Draw(t, "to"), replicas[replica.Draw(t, "from")]
+				if from != nil {
+					pending = append(pending, transfer{to: to, base: replicas[to], diff: from.DiffFrom(replicas[to].Digest(), 1)})
+				}
+			},
+			"deliver": func(t *rapid.T) {
+				if len(pending) == 0 {
+					t.Skip("nothing is on its way")
+				}
+				i := rapid.IntRange(0, len(pending)-1).Draw(t, "transfer")
+				list, err := pending[i].base.Apply(pending[i].diff)
+				if err != nil {
+					t.Fatal(err)
+				}
+				adopt(pending[i].to, list)
+				if !rapid.Bool().Draw(t, "again") {
+					pending = slices.Delete(pending, i, i+1)
+				}
+			},
+			"lose": func(*rapid.T) { pending = nil },
+		})
+	})
+}
