Let no failed accept, panic or early cancel outlive its connection

Ruled out: net/rpc does not recover panics of methods; gob turns malformed bytes into errors (FuzzMessagesOfPeers). Change: accepts are tried again after 5 ms to 1 s; handlers run guarded, a request at hand counts as may-have-run and the stack is logged; cancels of unknown requests are remembered, a thousand a connection.

--- a/lib/node/exec.go
+++ b/lib/node/exec.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"runtime/debug"
 	"sync"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"tamarackrudder.org/lib/call"
 	"tamarackrudder.org/lib/claims"
 	"tamarackrudder.org/lib/crash"
@@ -255,11 +259,32 @@
 		ctx, cancel = context.WithDeadline(n.ctx, r.Deadline().Add(settleTimeout))
 		defer cancel()
 	}
-	a := n.runBackend(ctx, r, service, route)
+	a := n.runGuarded(ctx, r, service, route)
 	n.settle(r, a)
 	ended <- a
 }
 
+// runGuarded is runBackend, but a panic ends only the request, which may have run.
+func (n *Node) runGuarded(ctx context.Context, r call.Request, service rules.Service, route string) (a call.Answer) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			n.logPanic("run", cause, debug.Stack())
+			a = call.Refusal(verd.MayHaveRun(verd.ReasonAnswerLost))
+		}
+	}()
+	return n.runBackend(ctx, r, service, route)
+}
+
+// HandlePanic logs that the handler of a peer's message has panicked.
+func (n *Node) HandlePanic(method string, cause any, stack []byte) {
+	n.logPanic("message "+method, cause, stack)
+}
+
+func (n *Node) logPanic(where string, cause any, stack []byte) {
+	_ = level.Error(n.log).Log("msg", "unexpected failure, only this request or message is lost", "at", where,
+		"cause", fmt.Sprint(cause), "stack", string(stack))
+}
+
 // settle stores the answer of a deduplicated request, or drops its claim if it did not run.
 func (n *Node) settle(r call.Request, a call.Answer) {
 	if r.Deduped() {
--- a/lib/node/untraced_test.go
+++ b/lib/node/untraced_test.go
@@ -326,3 +326,16 @@
 	r := call.NewRequest("1", "GET", "/items/1", "").WithRoute("desk", false).WithDeadline(time.Now().Add(15 * time.Millisecond))
 	is.Equal(n.Exec(t.Context(), r).Verdict(), verd.NotRun(verd.ReasonDeadline))
 }
+
+// TestPanicEndsOnlyItsRun lets the run of one request panic. The process must go on, and the request may have run.
+func TestPanicEndsOnlyItsRun(t *testing.T) {
+	is := is.New(t)
+	n := readyUntraced(t, func(_ context.Context, r call.Request) (call.Answer, bool) {
+		if r.ID() == "bad" {
+			panic("bytes that nobody expected")
+		}
+		return call.NewAnswer(200, nil, nil), false
+	})
+	is.Equal(n.Serve(t.Context(), call.NewRequest("bad", "POST", "/orders", "")).Verdict().Kind(), verd.KindMayHaveRun)
+	is.True(n.Serve(t.Context(), call.NewRequest("good", "POST", "/orders", "")).Verdict().HasRun())
+}
--- a/lib/relay/diff.go
+++ b/lib/relay/diff.go
@@ -28,8 +28,7 @@
 
 // FetchHosts replies with the difference from the peer's list of hosts to the one in force here.
 func (n *Node) FetchHosts(known DigestWire, reply *DiffWire) error {
-	*reply = toDiffWire(n.handlers.FetchHosts(hosts.NewDigest(known.Ranges)))
-	return nil
+	return n.guarded("FetchHosts", func() { *reply = toDiffWire(n.handlers.FetchHosts(hosts.NewDigest(known.Ranges))) })
 }
 
 func toDiffWire(d hosts.Diff) DiffWire {
--- a/lib/relay/server.go
+++ b/lib/relay/server.go
@@ -3,9 +3,10 @@
 import (
 	"context"
 	"errors"
-	"fmt"
+	"expvar"
 	"net"
 	"net/rpc"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -13,9 +14,25 @@
 	"tamarackrudder.org/lib/gossip"
 	"tamarackrudder.org/lib/hosts"
 	"tamarackrudder.org/lib/lease"
+	"tamarackrudder.org/lib/recent"
 	"tamarackrudder.org/lib/spread"
+	"tamarackrudder.org/lib/verd"
 )
 
+const (
+	minAcceptPause = 5 * time.Millisecond
+	maxAcceptPause = time.Second
+	// maxEarlyCancels is the number of cancellations in each of the two generations of those that are kept for requests that
+	// have not begun; most are of ended ones.
+	maxEarlyCancels = 500
+)
+
+// failedAccepts counts the connections of peers that could not be accepted.
+var failedAccepts = expvar.NewInt("peerAcceptsFailed")
+
+// errPanicked is the reply to a message whose handler has panicked.
+var errPanicked = errors.New("handler of the message has failed")
+
 // serviceName is the name under which net/rpc registers the receiver; it is part of the protocol.
 const serviceName = "Node"
 
@@ -35,6 +52,8 @@
 	Reclaim func(l lease.ReclaimRequest) gossip.ReclaimReply
 	// Locate returns the location of a peer by which sent bytes are counted; it may be nil.
 	Locate Locate
+	// Panicked is told of a handler that has panicked, with the message's method; it may be nil.
+	Panicked func(method string, cause any, stack []byte)
 }
 
 // Server accepts connections of peers and passes their messages to the handlers.
@@ -51,16 +70,22 @@
 	return &Server{handlers: handlers, listener: listener, conns: map[net.Conn]struct{}{}}
 }
 
-// Serve accepts connections until the server is closed; it then returns nil.
+// Serve accepts connections until the server is closed; it then returns nil. A connection that cannot be accepted, for
+// example for lack of descriptors, does not end it.
 func (s *Server) Serve() error {
+	pause := minAcceptPause
 	for {
 		conn, err := s.listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		if err != nil {
-			return fmt.Errorf("accept connection of peer: %w", err)
+			failedAccepts.Add(1)
+			time.Sleep(pause)
+			pause = min(maxAcceptPause, 2*pause)
+			continue
 		}
+		pause = minAcceptPause
 		go s.serveConn(conn)
 	}
 }
@@ -74,7 +99,9 @@
 	}
 	defer s.untrack(conn)
 	server := rpc.NewServer()
-	receiver := &Node{ctx: ctx, handlers: s.handlers, cancels: map[string]context.CancelFunc{}}
+	receiver := &Node{
+		ctx: ctx, handlers: s.handlers, cancels: map[string]context.CancelFunc{}, earlyCancels: recent.NewSet[string](maxEarlyCancels),
+	}
 	if err := server.RegisterName(serviceName, receiver); err != nil {
 		return
 	}
@@ -112,34 +139,67 @@
 	handlers Handlers
 	mu       sync.Mutex
 	cancels  map[string]context.CancelFunc
+	// earlyCancels holds the identifiers of canceled requests that were not known.
+	earlyCancels *recent.Set[string]
 }
 
-// Exec runs a request. Its context ends at the deadline, when the peer cancels the request, or when the connection is lost.
+// guarded calls a handler. It returns an error if the handler panics, which would otherwise end the process.
+func (n *Node) guarded(method string, handle func()) (err error) {
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		if n.handlers.Panicked != nil {
+			n.handlers.Panicked(method, cause, debug.Stack())
+		}
+		err = errPanicked
+	}()
+	handle()
+	return nil
+}
+
+// Exec runs a request. Its context ends at the deadline, when the peer cancels the request, or when the connection is lost. A
+// request whose handler panics may have run.
 func (n *Node) Exec(args RequestWire, reply *AnswerWire) error {
 	now := time.Now()
 	ctx, cancel := context.WithDeadline(n.ctx, now.Add(args.Remaining))
 	defer cancel()
-	n.mu.Lock()
-	n.cancels[args.ID] = cancel
-	n.mu.Unlock()
+	n.register(args.ID, cancel)
 	defer n.forget(args.ID)
-	*reply = toAnswerWire(n.handlers.Exec(ctx, args.request(now)))
+	err := n.guarded("Exec", func() { *reply = toAnswerWire(n.handlers.Exec(ctx, args.request(now))) })
+	if err != nil {
+		*reply = toAnswerWire(call.Refusal(verd.MayHaveRun(verd.ReasonAnswerLost)))
+	}
 	return nil
 }
 
+// register lets Cancel end a request, or ends it if Cancel came first: net/rpc handles each message in a goroutine of its own.
+func (n *Node) register(id string, cancel context.CancelFunc) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cancels[id] = cancel
+	if n.earlyCancels.Has(id) {
+		cancel()
+	}
+}
+
 func (n *Node) forget(id string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	delete(n.cancels, id)
 }
 
-// Cancel cancels the context of a request with the given identifier; without such a request it does nothing.
+// Cancel cancels the context of a request with the given identifier. The identifier of an unknown one is kept for a while, since
+// the request may be about to begin.
 func (n *Node) Cancel(id string, _ *Empty) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if cancel, ok := n.cancels[id]; ok {
 		cancel()
+		return nil
 	}
+	n.earlyCancels.Add(id)
 	return nil
 }
 
@@ -148,24 +208,29 @@
 
 // Beat processes a heartbeat of the peer and replies with this node's.
 func (n *Node) Beat(args BeatWire, reply *BeatWire) error {
-	*reply = toBeatWire(n.handlers.Heartbeat(args.heartbeat()))
-	return nil
+	return n.guarded("Beat", func() { *reply = toBeatWire(n.handlers.Heartbeat(args.heartbeat())) })
 }
 
 // Fetch replies with the published value of a name.
 func (n *Node) Fetch(name string, reply *ValueWire) error {
-	v := n.handlers.Fetch(name)
-	*reply = ValueWire{Version: v.Version(), Sequence: v.Sequence(), Text: v.Text()}
-	return nil
+	return n.guarded("Fetch", func() {
+		v := n.handlers.Fetch(name)
+		*reply = ValueWire{Version: v.Version(), Sequence: v.Sequence(), Text: v.Text()}
+	})
 }
 
 // Handover stores a part of the claims of the peer; the last part completes the handover.
 func (n *Node) Handover(args HandoverWire, _ *Empty) error {
-	return n.handlers.Handover(args.handover())
+	var refused error
+	if err := n.guarded("Handover", func() { refused = n.handlers.Handover(args.handover()) }); err != nil {
+		return err
+	}
+	return refused
 }
 
 // GiveBack ends this endpoint's ownership of the keys of the restarted peer, and replies with this endpoint's claims.
 func (n *Node) GiveBack(args GiveBackWire, reply *ReturnWire) error {
-	*reply = toReturnWire(n.handlers.Reclaim(lease.NewReclaimRequest(args.From, args.Incarnation, args.Kept)))
-	return nil
+	return n.guarded("GiveBack", func() {
+		*reply = toReturnWire(n.handlers.Reclaim(lease.NewReclaimRequest(args.From, args.Incarnation, args.Kept)))
+	})
 }
--- a/tamarackd/wiring/wiring.go
+++ b/tamarackd/wiring/wiring.go
@@ -108,7 +108,7 @@
 	ops := newServer(opsapi.NewHandler(n))
 	peers := relay.NewServer(listeners.rpc, relay.Handlers{
 		Exec: n.Exec, Heartbeat: n.HandleHeartbeat, Fetch: n.Fetch, FetchHosts: n.FetchHosts,
-		Handover: n.HandleHandover, Reclaim: n.HandleReclaim, Locate: n.Locate,
+		Handover: n.HandleHandover, Reclaim: n.HandleReclaim, Locate: n.Locate, Panicked: n.HandlePanic,
 	})
 	var group run.Group
 	group.Add(func() error { return serve(server, listeners.http) }, func(error) {
