--- a/lib/front/front.go
+++ b/lib/front/front.go
@@ -47,10 +47,20 @@
 	Serve Serve
 	// NewID returns a new unique identifier for a request.
 	NewID func() string
+	// MaxBody returns the size in bytes of the largest request body that any service accepts, 0 if it is not known yet.
+	MaxBody func() int64
 	// Leaving reports whether responses close their connections, so that callers connect to another node.
 	Leaving func() bool
 }
 
+// BodyLimit returns the number of bytes of a request's body that are read: what the services accept, at most the given number.
+func (s Seams) BodyLimit(most int64) int64 {
+	if accepted := s.MaxBody(); accepted > 0 {
+		return min(most, accepted)
+	}
+	return most
+}
+
 // New returns the handler for requests of callers, on any method and path.
 func New(seams Seams) http.Handler {
 	e := echo.New()
@@ -81,7 +91,7 @@
 	key := h.Header.Get(HeaderKey)
 	r := call.NewRequest(c.seams.NewID(), h.Method, h.URL.EscapedPath(), h.URL.RawQuery).
 		WithKey(key).WithFresh(h.Header.Get(HeaderFresh) == "true")
-	body, err := ReadBody(h, MaxBody)
+	body, err := ReadBody(h, c.seams.BodyLimit(MaxBody))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return r, refuse(verd.ReasonBodyTooLarge)
--- a/lib/front/front_test.go
+++ b/lib/front/front_test.go
@@ -21,7 +21,7 @@
 func start(t *testing.T, serve front.Serve) *httptest.Server {
 	t.Helper()
 	s := httptest.NewServer(front.New(front.Seams{
-		Serve: serve, NewID: func() string { return "id" }, Leaving: func() bool { return false },
+		Serve: serve, NewID: func() string { return "id" }, MaxBody: func() int64 { return 0 }, Leaving: func() bool { return false },
 	}))
 	t.Cleanup(s.Close)
 	return s
--- a/lib/node/status.go
+++ b/lib/node/status.go
@@ -58,6 +58,15 @@
 // Rules returns the rules in force, nil before the first.
 func (n *Node) Rules() *rules.Set { return n.rules.Load() }
 
+// MaxBody returns the size in bytes of the largest request body that any service accepts, 0 before rules are in force.
+func (n *Node) MaxBody() int64 {
+	set := n.rules.Load()
+	if set == nil {
+		return 0
+	}
+	return int64(set.MaxBody())
+}
+
 // RulesText returns the rules in force as they were published.
 func (n *Node) RulesText() []byte { return n.rulesStore.Current().Text() }
 
--- a/lib/rules/rules.go
+++ b/lib/rules/rules.go
@@ -211,6 +211,15 @@
 // Keyed reports whether any route of the set is Keyed, so that endpoints need leases as owners of idempotency keys.
 func (s *Set) Keyed() bool { return s.keyed }
 
+// MaxBody returns the size of the largest request body that any service accepts, in bytes.
+func (s *Set) MaxBody() int {
+	largest := 0
+	for _, v := range s.services {
+		largest = max(largest, v.maxBody)
+	}
+	return largest
+}
+
 // Version returns the version that the operators gave the file, at least 1.
 func (s *Set) Version() uint64 { return s.version }
 
--- a/tamarackd/wiring/platform.go
+++ b/tamarackd/wiring/platform.go
@@ -70,7 +70,7 @@
 	tuneMemory(platformGCPercent)
 	logger := newLogger(s, os.Stdout)
 	n := newPlatformNode(ctx, platformSettings, s, logger)
-	seams := front.Seams{Serve: n.Serve, NewID: uuid.NewString, Leaving: n.Stopping}
+	seams := front.Seams{Serve: n.Serve, NewID: uuid.NewString, MaxBody: n.MaxBody, Leaving: n.Stopping}
 	callers := platform.NewFront(seams, s.service)
 	ready, err := readyActor(ctx, platformSettings.ReadyAddr(), func() bool { return n.Ready() && !n.Stopping() })
 	if err != nil {
--- a/tamarackd/wiring/wiring.go
+++ b/tamarackd/wiring/wiring.go
@@ -86,7 +86,7 @@
 	TuneMemory()
 	logger := newLogger(s, os.Stderr)
 	n := newNode(s, logger)
-	callers := front.New(front.Seams{Serve: n.Serve, NewID: uuid.NewString, Leaving: n.Leaving})
+	callers := front.New(front.Seams{Serve: n.Serve, NewID: uuid.NewString, MaxBody: n.MaxBody, Leaving: n.Leaving})
 	reload := received.reloadActor(func() {
 		_ = level.Info(logger).Log("msg", "signal ignored, settings of the command line change at the next start")
 	})
