Close a caller's connection after a body that is too large

MaxBytesReader was not given the response writer, by which it tells the server to close the connection. Change: it is given.

--- a/lib/front/front.go
+++ b/lib/front/front.go
@@ -78,7 +78,7 @@
 	if c.seams.Leaving() {
 		ec.Response().Header().Set(echo.HeaderConnection, "close")
 	}
-	r, refusal := c.read(ec.Request())
+	r, refusal := c.read(ec)
 	if refusal != nil {
 		return write(ec, r.ID(), call.AcrossAttempts(r, call.Refusal(*refusal)))
 	}
@@ -87,11 +87,12 @@
 
 // read converts an HTTP request. It returns a verdict if the request cannot be served; the returned request then has only
 // the parts that were read before.
-func (c controller) read(h *http.Request) (call.Request, *verd.Verdict) {
+func (c controller) read(ec echo.Context) (call.Request, *verd.Verdict) {
+	h := ec.Request()
 	key := h.Header.Get(HeaderKey)
 	r := call.NewRequest(c.seams.NewID(), h.Method, h.URL.EscapedPath(), h.URL.RawQuery).
 		WithKey(key).WithFresh(h.Header.Get(HeaderFresh) == "true")
-	body, err := ReadBody(h, c.seams.BodyLimit(MaxBody))
+	body, err := ReadBody(ec.Response().Writer, h, c.seams.BodyLimit(MaxBody))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return r, refuse(verd.ReasonBodyTooLarge)
@@ -127,12 +128,13 @@
 }
 
 // ReadBody reads the complete body of a request. A body of more than maxBytes fails with an *http.MaxBytesError, one that
-// ends before its announced length with io.ErrUnexpectedEOF.
-func ReadBody(h *http.Request, maxBytes int64) ([]byte, error) {
+// ends before its announced length with io.ErrUnexpectedEOF. After a body that is too large the connection is closed, since the
+// rest of the body is not read.
+func ReadBody(w http.ResponseWriter, h *http.Request, maxBytes int64) ([]byte, error) {
 	if h.ContentLength == 0 {
 		return nil, nil
 	}
-	return io.ReadAll(http.MaxBytesReader(nil, h.Body, maxBytes))
+	return io.ReadAll(http.MaxBytesReader(w, h.Body, maxBytes))
 }
 
 // isProjectField reports whether a field belongs to the interface between caller and node, so that it is not passed on.
