--- a/lib/node/checks.go
+++ b/lib/node/checks.go
@@ -13,8 +13,10 @@
 	checksPerSecond  = 4
 	minCheckInterval = 600 * time.Millisecond
 	maxCheckInterval = 30 * time.Second
-	// coalescePerEndpoint is how long to wait for further changes for each listed endpoint; maxCoalesce bounds it.
+	// coalescePerEndpoint is how long to wait for further changes for each listed endpoint, between minCoalesce and
+	// maxCoalesce. When a whole fleet starts, its endpoints register one after another while the list is still short.
 	coalescePerEndpoint = 8 * time.Millisecond
+	minCoalesce         = 100 * time.Millisecond
 	maxCoalesce         = 600 * time.Millisecond
 	// isolatedAfter is the time without any heartbeat reply after which a node checks at the shortest interval, since
 	// changes that other nodes find no longer reach it.
@@ -81,12 +83,8 @@
 // reach every node, so without the wait the number of requests would grow with the square of the number of nodes.
 func (c *Checks) Coalesce() time.Duration {
 	n := c.node.Load()
-	if n == nil {
-		return 0
-	}
-	list := n.hosts.Load()
-	if list == nil {
+	if n == nil || n.hosts.Load() == nil {
 		return 0
 	}
-	return min(maxCoalesce, time.Duration(len(list.Endpoints()))*coalescePerEndpoint)
+	return min(maxCoalesce, max(minCoalesce, time.Duration(len(n.hosts.Load().Endpoints()))*coalescePerEndpoint))
 }
--- a/lib/node/checks_test.go
+++ b/lib/node/checks_test.go
@@ -57,3 +57,17 @@
 		})
 	}
 }
+
+// TestCoalesce checks the wait for further changes against the size of the list: a short list must not mean a call for each
+// endpoint of a fleet that starts.
+func TestCoalesce(t *testing.T) {
+	is := is.New(t)
+	seams := listSeams(t, listed(t, 1))
+	n := newListNode(seams)
+	t.Cleanup(n.Close)
+	checks := node.NewChecks(clock.System{})
+	is.Equal(checks.Coalesce(), time.Duration(0))
+	checks.Follow(n)
+	awaitReady(t, n)
+	is.True(checks.Coalesce() >= 100*time.Millisecond)
+}
