Take an endpoint of which nothing is known for as busy as the others

Cause: a report of load was used for a second and then counted as none, so an endpoint looked idle to every node that had not heard of it lately. In a large fleet that is most endpoints for most nodes: they all sent to those that they knew nothing of, in other zones too. Only half of a service of 18 was compared, which hid a part of it. Change: the mean utilization of the service, from its reports by age, stands in for a missing or old one; all endpoints of services of up to 64 are compared.

--- a/lib/picker/picker.go
+++ b/lib/picker/picker.go
@@ -18,9 +18,8 @@
 	minHealthyFraction   = 0.5
 	rampUpTime           = 2 * time.Second
 	rampUpMinProbability = 0.1
-	loadMaxAge           = time.Second
 	// maxCompared bounds the endpoints that one choice compares; from larger services a sample is taken.
-	maxCompared = 16
+	maxCompared = 64
 	// remoteZoneCost is the surcharge for an endpoint in another zone: by so much the utilization in the local zone, as
 	// a fraction of the slots, must be higher before another zone is used.
 	remoteZoneCost = 0.4
@@ -124,13 +123,14 @@
 	}
 	now, fastest := t.clock.Now(), t.lowestLatency(usable)
 	lowestFailure := t.lowestFailureRate(usable, now)
+	mean := t.meanUtilization(usable, slots, now)
 	stride := (len(usable) + maxCompared - 1) / maxCompared
 	best, least := "", 0.0
 	for i := t.randomIndex(stride); i < len(usable); i += stride {
 		state := t.endpoint(usable[i].RPCAddr())
 		latencyCost := float64(max(0, state.latency-fastest)) / float64(latencyScale)
 		unansweredCost := failureCost * max(0, state.failureRate.current(now, failureHalfLife)-lowestFailure-failureNoise)
-		cost := t.cost(usable[i], slots, now) + latencyCost + unansweredCost
+		cost := t.cost(usable[i], slots, mean, now) + latencyCost + unansweredCost
 		if best == "" || cost < least {
 			best, least = usable[i].RPCAddr(), cost
 		}
@@ -161,17 +161,14 @@
 }
 
 // cost returns the expected fraction of the endpoint's slots in use, with surcharges for crowding, another zone and
-// refusals.
-func (t *Table) cost(member hosts.Endpoint, slots int, now time.Time) float64 {
-	if member.Slots() > 0 {
-		slots = member.Slots()
-	}
-	capacity := float64(max(1, slots))
+// refusals; mean is the mean utilization of the service.
+func (t *Table) cost(member hosts.Endpoint, slots int, mean float64, now time.Time) float64 {
+	capacity := slotsOf(member, slots)
 	if now.Before(member.WarmAt()) {
 		capacity *= coldFraction
 	}
 	e := t.endpoint(member.RPCAddr())
-	utilization := (t.load(member) + 1) / capacity
+	utilization := (e.load(mean*capacity, now) + 1) / capacity
 	cost := utilization + crowdCost*max(0, utilization-crowdedUtilization) +
 		refusalCost*e.refusalRate.current(now, refusalHalfLife) + tieBreakCost*t.random()
 	if member.Zone() != t.zone {
@@ -216,16 +213,6 @@
 	return picked
 }
 
-// load returns the larger of this node's requests in flight at the endpoint and the endpoint's last report, if that
-// is recent, plus the requests sent since.
-func (t *Table) load(member hosts.Endpoint) float64 {
-	e := t.endpoint(member.RPCAddr())
-	if t.clock.Now().Sub(e.reportedAt) > loadMaxAge {
-		return float64(e.inFlight)
-	}
-	return float64(max(e.inFlight, e.reportedLoad+e.sentSinceReport))
-}
-
 // RecordSent records that a request is being sent to the endpoint.
 func (t *Table) RecordSent(addr string) {
 	t.mu.Lock()
