Check the store less often while no other endpoint is listed

Change: such a node checks every two seconds; it watches the store at the same time. Test: TestShortListMakesFewCalls.

--- a/lib/node/checks.go
+++ b/lib/node/checks.go
@@ -13,6 +13,9 @@
 	checksPerSecond  = 4
 	minCheckInterval = 600 * time.Millisecond
 	maxCheckInterval = 30 * time.Second
+	// aloneCheckInterval applies while no other endpoint is listed: when a whole fleet starts, all nodes watch the platform for
+	// the first entries.
+	aloneCheckInterval = 2 * time.Second
 	// coalescePerEndpoint is how long to wait for further changes for each listed endpoint, between minCoalesce and
 	// maxCoalesce. When a whole fleet starts, its endpoints register one after another while the list is still short.
 	coalescePerEndpoint = 8 * time.Millisecond
@@ -45,7 +48,12 @@
 		return minCheckInterval
 	}
 	list := n.hosts.Load()
-	if list == nil || c.isIsolated(n) {
+	switch {
+	case list == nil:
+		return minCheckInterval
+	case len(list.Endpoints()) <= 1:
+		return aloneCheckInterval
+	case c.isIsolated(n):
 		return minCheckInterval
 	}
 	interval := time.Duration(len(list.Endpoints())) * time.Second / checksPerSecond
--- a/lib/node/checks_test.go
+++ b/lib/node/checks_test.go
@@ -58,9 +58,8 @@
 	}
 }
 
-// TestCoalesce checks the wait for further changes against the size of the list: a short list must not mean a call for each
-// endpoint of a fleet that starts.
-func TestCoalesce(t *testing.T) {
+// TestShortListMakesFewCalls guards against calls for each endpoint of a fleet that starts, while the list is still short.
+func TestShortListMakesFewCalls(t *testing.T) {
 	is := is.New(t)
 	seams := listSeams(t, listed(t, 1))
 	n := newListNode(seams)
@@ -70,4 +69,5 @@
 	checks.Follow(n)
 	awaitReady(t, n)
 	is.True(checks.Coalesce() >= 100*time.Millisecond)
+	is.True(checks.Pause() >= time.Second)
 }
