Detect suspensions, and count retries and crashes, without the time of day

The window of the retry budget and the times of crashes followed the time of day too: a jump emptied the window, or made one crash of two. Ruled out, by reading all uses of wall time: leases (both clocks, the shorter counts), keys (skew bound), roster, feed, links, pools and stops (monotonic). Left: the end of a warm-up is wall time of the host that read the entry; a jump moves the end of the lower cost of a cold endpoint by its length, nothing else. Change: time since boot (CLOCK_BOOTTIME) for suspensions, monotonic time for windows and crashes.

--- a/lib/clock/stalls.go
+++ b/lib/clock/stalls.go
@@ -12,18 +12,20 @@
 	minStall = 500 * time.Millisecond
 )
 
-// Stalls notices when the process does not run for a while, for instance because it or its host is suspended.
+// Stalls notices when the process does not run for a while, for instance because it or its host is suspended. All its times
+// are times since the boot of the host.
 type Stalls struct {
-	clock     Clock
+	sinceBoot func() time.Duration
 	mu        sync.Mutex
-	checkedAt time.Time
-	began     time.Time
-	ended     time.Time
+	checkedAt time.Duration
+	began     time.Duration
+	ended     time.Duration
 }
 
-// NewStalls returns a Stalls that checks for stalls until the context ends.
-func NewStalls(ctx context.Context, c Clock) *Stalls {
-	s := &Stalls{clock: c, checkedAt: wallTime(c)}
+// NewStalls returns a Stalls that checks for stalls until the context ends. sinceBoot returns the time since the boot of the
+// host, as SinceBoot does: the monotonic clock may stand still while the host is suspended, and the time of day may jump.
+func NewStalls(ctx context.Context, c Clock, sinceBoot func() time.Duration) *Stalls {
+	s := &Stalls{sinceBoot: sinceBoot, checkedAt: sinceBoot()}
 	go func() {
 		for ctx.Err() == nil {
 			select {
@@ -36,14 +38,11 @@
 	return s
 }
 
-// wallTime returns the time without its monotonic reading, which may stand still while the host is suspended.
-func wallTime(c Clock) time.Time { return c.Now().Round(0) }
-
-func (s *Stalls) check() time.Time {
+func (s *Stalls) check() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := wallTime(s.clock)
-	if now.Sub(s.checkedAt) >= minStall {
+	now := s.sinceBoot()
+	if now-s.checkedAt >= minStall {
 		s.began, s.ended = s.checkedAt, now
 	}
 	s.checkedAt = now
@@ -56,8 +55,8 @@
 	now := s.check()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.ended.IsZero() || now.Sub(s.ended) >= stallCheckInterval {
+	if s.ended == 0 || now-s.ended >= stallCheckInterval {
 		return 0
 	}
-	return now.Sub(s.began)
+	return now - s.began
 }
--- a/lib/clock/stalls_test.go
+++ b/lib/clock/stalls_test.go
@@ -25,14 +25,25 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			c := clock.NewManual(time.Unix(1_800_000_000, 0))
-			s := clock.NewStalls(t.Context(), c)
+			sinceBoot := time.Hour
+			s := clock.NewStalls(t.Context(), clock.NewManual(time.Unix(1_800_000_000, 0)), func() time.Duration { return sinceBoot })
 			delay := time.Duration(0)
 			for _, a := range test.advances {
-				c.Advance(a)
+				sinceBoot += a
 				delay = s.Delay()
 			}
 			is.Equal(delay, test.want)
 		})
 	}
 }
+
+// TestJumpOfTimeOfDayIsNoStall guards against a stop that is cut short because the time of day has jumped ahead before it.
+func TestJumpOfTimeOfDayIsNoStall(t *testing.T) {
+	is := is.New(t)
+	c := clock.NewManual(time.Unix(1_800_000_000, 0))
+	before := clock.SinceBoot()
+	s := clock.NewStalls(t.Context(), c, clock.SinceBoot)
+	c.Advance(3 * time.Second)
+	is.Equal(s.Delay(), time.Duration(0))
+	is.True(clock.SinceBoot() >= before)
+}
--- a/lib/crash/crash.go
+++ b/lib/crash/crash.go
@@ -74,6 +74,7 @@
 // Table holds the crash marks of a service, which its endpoints exchange in their heartbeats.
 type Table struct {
 	clock clock.Clock
+	start time.Time
 	self  string
 	mu    sync.Mutex
 	marks map[uint64]Mark
@@ -83,14 +84,14 @@
 
 // NewTable returns an empty table for the endpoint at an address.
 func NewTable(c clock.Clock, self string) *Table {
-	return &Table{clock: c, self: self, marks: map[uint64]Mark{}, succeeded: recent.NewSet[uint64](maxSucceeded)}
+	return &Table{clock: c, start: c.Now(), self: self, marks: map[uint64]Mark{}, succeeded: recent.NewSet[uint64](maxSucceeded)}
 }
 
 // RecordCrash records that the local backend server crashed while a request with the fingerprint was in flight.
 func (t *Table) RecordCrash(fingerprint uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.merge(NewMark(fingerprint, []Crash{NewCrash(t.self, t.clock.Now())}))
+	t.merge(NewMark(fingerprint, []Crash{NewCrash(t.self, t.now())}))
 }
 
 // Merge adds the crashes in the marks of a peer, except those that are recorded already or have expired. Marks of further
@@ -128,7 +129,11 @@
 	return added
 }
 
-func (t *Table) isExpired(c Crash) bool { return t.clock.Now().Round(0).Sub(c.at) >= crashTTL }
+func (t *Table) isExpired(c Crash) bool { return t.now().Round(0).Sub(c.at) >= crashTTL }
+
+// now returns the wall time of the table's start plus the time since. After a jump of the time of day it would take one crash for
+// two, or two for one.
+func (t *Table) now() time.Time { return t.start.Round(0).Add(t.clock.Now().Sub(t.start)) }
 
 // prune removes expired crashes, and marks without any.
 func (t *Table) prune() {
--- a/lib/retry/budget.go
+++ b/lib/retry/budget.go
@@ -10,8 +10,8 @@
 // buckets is the number of parts into which a window is divided; the ring has one more, for the part being filled.
 const buckets = 10
 
-// bucket counts the requests and retries in one part of a window; number is the index of that part since the Unix
-// epoch.
+// bucket counts the requests and retries in one part of a window; number is the index of that part since the budget was made,
+// from 1.
 type bucket struct {
 	number   int64
 	requests int
@@ -22,6 +22,7 @@
 // constant slack. The calls made for a request that is a retry count as retries too, at the services that they go to.
 type Budget struct {
 	clock        clock.Clock
+	start        time.Time
 	ratio        float64
 	slack        float64
 	bucketLength time.Duration
@@ -33,7 +34,7 @@
 // the number that a window allows without requests.
 func NewBudget(c clock.Clock, ratio, slack float64, window time.Duration) *Budget {
 	return &Budget{
-		clock: c, ratio: ratio, slack: slack, bucketLength: max(1, window/buckets),
+		clock: c, start: c.Now(), ratio: ratio, slack: slack, bucketLength: max(1, window/buckets),
 		services: map[string]*[buckets + 1]bucket{},
 	}
 }
@@ -81,7 +82,7 @@
 		ring = &[buckets + 1]bucket{}
 		b.services[service] = ring
 	}
-	number := b.clock.Now().UnixNano() / int64(b.bucketLength)
+	number := 1 + int64(b.clock.Now().Sub(b.start)/b.bucketLength) // Sub ignores jumps of the time of day
 	s := &ring[number%(buckets+1)]
 	if s.number != number {
 		*s = bucket{number: number}
--- a/tamarackd/wiring/signals.go
+++ b/tamarackd/wiring/signals.go
@@ -26,7 +26,7 @@
 
 func catchSignals(ctx context.Context) *signals {
 	s := &signals{
-		stop: make(chan os.Signal, 1), reload: make(chan os.Signal, 1), stalls: clock.NewStalls(ctx, clock.System{}),
+		stop: make(chan os.Signal, 1), reload: make(chan os.Signal, 1), stalls: clock.NewStalls(ctx, clock.System{}, clock.SinceBoot),
 	}
 	signal.Notify(s.stop, os.Interrupt, syscall.SIGTERM)
 	signal.Notify(s.reload, syscall.SIGHUP)
