--- a/lib/node/fetch_test.go
+++ b/lib/node/fetch_test.go
@@ -112,3 +112,31 @@
 		})
 	}
 }
+
+// TestRestartedNodeKeepsOutWhatHasLeft lets peers with an older list tell a node that has just started of an endpoint that has
+// left, by their heartbeats and by a difference that comes late.
+func TestRestartedNodeKeepsOutWhatHasLeft(t *testing.T) {
+	const peer, left = "10.0.0.2:1", "10.0.0.3:1"
+	older, newer := listed(t, 1, peer, left), listed(t, 2, peer)
+	for _, announced := range []uint64{1, 3} {
+		is := is.New(t)
+		var rounds atomic.Int64
+		seams := listSeams(t, newer)
+		seams.Heartbeat = func(_ context.Context, addr string, _ gossip.Heartbeat) (gossip.Heartbeat, error) {
+			rounds.Add(1)
+			return gossip.NewHeartbeat(addr, false, spread.Stamp{}, spread.NewStamp(announced, announced)), nil
+		}
+		seams.FetchHosts = func(_ context.Context, _ string, known hosts.Digest) (hosts.Diff, error) {
+			return older.DiffFrom(known, 1), nil
+		}
+		n := newListNode(seams)
+		t.Cleanup(n.Close)
+		awaitReady(t, n)
+		for end := time.Now().Add(waitTimeout); rounds.Load() < 10; time.Sleep(time.Millisecond) {
+			is.True(time.Now().Before(end))
+		}
+		_, listedAgain := n.Hosts().Find(left)
+		is.True(!listedAgain)
+		is.Equal(n.Hosts().Version(), uint64(2))
+	}
+}
