Take the lock once to find a stall

The check and the delay were two methods that locked one after the other; the loop and the stop signal call the same one now. Behaviour as before; tests of lib/clock pass.

--- a/lib/clock/stalls.go
+++ b/lib/clock/stalls.go
@@ -31,14 +31,16 @@
 			select {
 			case <-ctx.Done():
 			case <-c.After(stallCheckInterval):
-				s.check()
+				s.Delay()
 			}
 		}
 	}()
 	return s
 }
 
-func (s *Stalls) check() time.Duration {
+// Delay returns how long ago an event may have happened that the process notices now: the time since the beginning of a
+// stall that has just ended, else zero.
+func (s *Stalls) Delay() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.sinceBoot()
@@ -46,15 +48,6 @@
 		s.began, s.ended = s.checkedAt, now
 	}
 	s.checkedAt = now
-	return now
-}
-
-// Delay returns how long ago an event may have happened that the process notices now: the time since the beginning of a
-// stall that has just ended, else zero.
-func (s *Stalls) Delay() time.Duration {
-	now := s.check()
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	if s.ended == 0 || now-s.ended >= stallCheckInterval {
 		return 0
 	}
