Bound the rounds of heartbeats that news starts

Change: without leases at least 50 ms lie between a round and the next one that news starts; the first is sent at once, so news in a quiet time is as quick as before. Test: TestQuickChangesShareRounds, 500 marks in half a second (red before).

--- a/lib/node/fetch_test.go
+++ b/lib/node/fetch_test.go
@@ -13,8 +13,10 @@
 
 	"tamarackrudder.org/lib/call"
 	"tamarackrudder.org/lib/clock"
+	"tamarackrudder.org/lib/crash"
 	"tamarackrudder.org/lib/gossip"
 	"tamarackrudder.org/lib/hosts"
+	"tamarackrudder.org/lib/lease"
 	"tamarackrudder.org/lib/node"
 	"tamarackrudder.org/lib/plat"
 	"tamarackrudder.org/lib/spread"
@@ -140,3 +142,27 @@
 		is.Equal(n.Hosts().Version(), uint64(2))
 	}
 }
+
+// TestQuickChangesShareRounds triggers far more news than there may be rounds of heartbeats.
+func TestQuickChangesShareRounds(t *testing.T) {
+	is := is.New(t)
+	var sent atomic.Int64
+	seams := listSeams(t, listed(t, 1, "10.0.0.2:1"))
+	seams.Heartbeat = func(_ context.Context, addr string, _ gossip.Heartbeat) (gossip.Heartbeat, error) {
+		sent.Add(1)
+		return gossip.NewHeartbeat(addr, false, spread.Stamp{}, spread.Stamp{}), nil
+	}
+	settings := node.NewSettings("10.0.0.1:1", "desk", "z0").WithUntraced().WithAlwaysWatch().WithHeartbeat(time.Hour)
+	n := node.New(node.NewCommon(clock.System{}, log.NewNopLogger(), settings, seams))
+	t.Cleanup(n.Close)
+	awaitReady(t, n)
+	before, start := sent.Load(), time.Now()
+	for i := range uint64(500) {
+		at := time.Unix(1_800_000_000, 0).Add(time.Duration(i) * time.Minute) // each mark has a crash that is news
+		mark := crash.NewMark(i%100, []crash.Crash{crash.NewCrash("10.0.0.9:1", at)})
+		n.HandleHeartbeat(gossip.NewHeartbeat("10.0.0.2:1", false, spread.Stamp{}, spread.Stamp{}).WithService(lease.State{}, []crash.Mark{mark}))
+		time.Sleep(time.Millisecond)
+	}
+	is.True(sent.Load() > before) // news does start rounds
+	is.True(sent.Load()-before <= 2+int64(time.Since(start)/(50*time.Millisecond)))
+}
--- a/lib/node/heartbeat.go
+++ b/lib/node/heartbeat.go
@@ -16,6 +16,9 @@
 	// randomPeerRounds is the number of heartbeat rounds after which one heartbeat also goes to a random peer of any
 	// service.
 	randomPeerRounds = 4
+	// minRoundInterval is the least time between a round and one that news starts, so that many changes in quick succession,
+	// as when a whole fleet starts, do not cost a round each.
+	minRoundInterval = 50 * time.Millisecond
 	// maxSilentProbed bounds the silent endpoints that get a heartbeat in one round.
 	maxSilentProbed  = 8
 	heartbeatTimeout = time.Second
@@ -30,18 +33,23 @@
 }
 
 func (n *Node) heartbeatLoop() {
+	var lastRound time.Time
 	for {
 		randomPeers := 0
 		select {
 		case <-n.ctx.Done():
 			return
 		case <-n.heartbeatTrigger:
+			if !n.Leased() && !n.wait(n.ctx, minRoundInterval-n.clock.Now().Sub(lastRound)) {
+				return
+			}
 		case <-n.clock.After(n.settings.heartbeatInterval):
 			n.heartbeatRounds++
 			if n.heartbeatRounds%randomPeerRounds == 0 {
 				randomPeers = 1
 			}
 		}
+		lastRound = n.clock.Now()
 		n.heartbeatRound(randomPeers)
 	}
 }
