--- a/tamarackbench/fleet/fleet.go
+++ b/tamarackbench/fleet/fleet.go
@@ -242,28 +242,29 @@
 
 func (f *Fleet) waitReady(ctx context.Context) error {
 	for _, e := range f.endpoints {
-		if err := retryUntil(ctx, func() error { return e.checkReady(ctx) }); err != nil {
+		if err := retryUntil(ctx, func() error { return e.checkReady(ctx, f.topology.isKeyed()) }); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (e *Endpoint) checkReady(ctx context.Context) error {
+// checkReady returns an error unless the endpoint's node is ready and, where routes are keyed, holds and grants leases.
+func (e *Endpoint) checkReady(ctx context.Context, keyed bool) error {
 	s, err := opsapi.NewClient(e.opsAddr).Status(ctx)
 	if err != nil {
 		return fmt.Errorf("node %s: %w", e.host, err)
 	}
-	if !s.Ready || !s.Lease.Active || !s.Lease.Granting {
+	if !s.Ready || (keyed && (!s.Lease.Active || !s.Lease.Granting)) {
 		return fmt.Errorf("node %s: ready %t, lease active %t, granting %t; want all true",
 			e.host, s.Ready, s.Lease.Active, s.Lease.Granting)
 	}
 	return nil
 }
 
-// WaitReady waits until an endpoint's node is ready, holds its lease and grants leases, for at most 20 seconds.
-func (*Fleet) WaitReady(ctx context.Context, e *Endpoint) error {
-	return retryUntil(ctx, func() error { return e.checkReady(ctx) })
+// WaitReady waits until an endpoint's node is ready and, where routes are keyed, holds and grants leases, for at most 20 seconds.
+func (f *Fleet) WaitReady(ctx context.Context, e *Endpoint) error {
+	return retryUntil(ctx, func() error { return e.checkReady(ctx, f.topology.isKeyed()) })
 }
 
 // Topology returns the description of the deployment that the fleet runs.
--- a/tamarackbench/fleet/topology.go
+++ b/tamarackbench/fleet/topology.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"tamarackrudder.org/tamarackbench/bserv"
@@ -94,6 +96,11 @@
 // EntryDelay returns the one-way network delay between callers and nodes.
 func (t Topology) EntryDelay() time.Duration { return t.entryDelay }
 
+// isKeyed reports whether any route needs an idempotency key, so that nodes hold leases.
+func (t Topology) isKeyed() bool {
+	return slices.ContainsFunc(strings.Fields(t.rules), func(word string) bool { return word == "kind=nonIdempotent" })
+}
+
 // Rules returns the text of the rules file with the given version number.
 func (t Topology) Rules(version int) string {
 	return "version " + strconv.Itoa(version) + "\n" + t.rules
