Take late requests of a stop for callers' while the backend server is idle

Ruled out for them: requests without time for an answer (0.7 s were left). Change: after callers have had their time, a request counts as a downstream call only while the backend server runs something. Tests: TestIdleBackendServerSendsNoCalls (red before). TestDownstreamCallsEndBeforeTheStopTimeout made its call while nothing ran, which no backend server does; it makes it beside a running request now, with the same checks.

--- a/lib/node/stop.go
+++ b/lib/node/stop.go
@@ -62,9 +62,11 @@
 }
 
 // checkStopping refuses a request that comes from a caller after the time that a stop gives callers to leave, and any
-// request after the last one of the local backend server has ended.
+// request after the last one of the local backend server has ended. A request on a route that is not known as an entry route
+// comes from a caller too if the backend server is running nothing that could have sent it.
 func (n *Node) checkStopping(e *entry) *verd.Verdict {
-	if n.refusesAll.Load() || (n.refusesCallers.Load() && !n.isDownstreamCall(e)) {
+	fromCaller := !n.isDownstreamCall(e) || n.executing.len() == 0
+	if n.refusesAll.Load() || (n.refusesCallers.Load() && fromCaller) {
 		return notRun(verd.ReasonLeaving)
 	}
 	return nil
--- a/lib/node/stop_test.go
+++ b/lib/node/stop_test.go
@@ -39,11 +39,35 @@
 	is.True(a.RetryAfter() > 0)
 }
 
+// newStoppedAtWork returns an untraced node after Stop, whose context ends at the returned time, while its backend server still
+// runs a request of a peer. Requests that enter at the node run at a peer.
+func newStoppedAtWork(t *testing.T, peer execFunc) (*node.Node, time.Time) {
+	t.Helper()
+	const stopTimeout, callersLeave = 2 * time.Second, 50 * time.Millisecond
+	values := map[string]string{node.NameRules: untracedRules, node.NameHosts: "desk 10.0.0.1:1 z0\ndesk 10.0.0.2:1 z0"}
+	running, finish := make(chan struct{}), make(chan struct{})
+	t.Cleanup(func() { close(finish) })
+	n := newUntracedWithPeers(t, values, func(context.Context, call.Request) (call.Answer, bool) {
+		close(running)
+		<-finish
+		return call.NewAnswer(200, nil, nil), false
+	}, peer)
+	awaitReady(t, n)
+	parent := call.NewRequest("parent", "POST", "/orders", "").WithRoute("desk", true).WithDeadline(time.Now().Add(time.Minute))
+	go n.Exec(t.Context(), parent)
+	<-running
+	ctx, cancel := context.WithTimeout(t.Context(), stopTimeout)
+	t.Cleanup(cancel)
+	end, _ := ctx.Deadline()
+	n.Stop(ctx, callersLeave)
+	return n, end
+}
+
 // TestDownstreamCallsEndBeforeTheStopTimeout guards against late calls of the backend server that outlast the process.
 func TestDownstreamCallsEndBeforeTheStopTimeout(t *testing.T) {
 	is := is.New(t)
 	var deadline time.Time
-	n, end := newStopped(t, func(_ context.Context, _ string, r call.Request) call.Answer {
+	n, end := newStoppedAtWork(t, func(_ context.Context, _ string, r call.Request) call.Answer {
 		deadline = r.Deadline()
 		return call.NewAnswer(200, nil, nil)
 	})
@@ -52,6 +76,15 @@
 	is.True(deadline.Before(end))
 }
 
+// TestIdleBackendServerSendsNoCalls guards against a caller's late request, on a route not known as an entry route, that a
+// stopping node passes on and then gives up.
+func TestIdleBackendServerSendsNoCalls(t *testing.T) {
+	is := is.New(t)
+	n, _ := newStopped(t, func(context.Context, string, call.Request) call.Answer { return call.NewAnswer(200, nil, nil) })
+	a := n.Serve(t.Context(), call.NewRequest("1", "POST", "/orders", ""))
+	is.Equal(a.Verdict(), verd.NotRun(verd.ReasonLeaving))
+}
+
 // TestFinishedNodeAdmitsNothing guards against a request that is passed on while the server closes its connection as idle.
 func TestFinishedNodeAdmitsNothing(t *testing.T) {
 	is := is.New(t)
