--- a/lib/roster/roster.go
+++ b/lib/roster/roster.go
@@ -63,6 +63,17 @@
 	return &Table{clock: c, entries: map[string]*entry{}, tombstones: map[string]tombstone{}}
 }
 
+// Reset forgets everything, as after a start. A table that has not followed the platform for a while does not know which
+// entries are missing because their endpoints have left, and would let them count for a grace period.
+func (t *Table) Reset() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.entries, t.tombstones = map[string]*entry{}, map[string]tombstone{}
+	t.position, t.localChanges = Position{}, 0
+	t.unreachable, t.unreachableSince, t.graceSince = false, time.Time{}, time.Time{}
+	t.everRead = false
+}
+
 // Put records an entry, unless the same or a newer change of it is recorded and has not been removed since. Changes of
 // another epoch than that of the last Replace are ignored.
 func (t *Table) Put(name string, e hosts.Endpoint, p Position) {
