Ask at one place for how long no peer has answered

Cause: the checks compared the last heartbeat reply with a bound in the same words as the watch of the own interface, by a clock of their own that is the node's. Ruled out: a difference between the two clocks (both are the system's at every call site). Change: Node.unansweredFor serves both, and NewChecks takes no clock. Behaviour as before; lint clean, lib/node's tests pass.

--- a/lib/node/checks.go
+++ b/lib/node/checks.go
@@ -4,8 +4,6 @@
 	"slices"
 	"sync/atomic"
 	"time"
-
-	"tamarackrudder.org/lib/clock"
 )
 
 const (
@@ -30,13 +28,12 @@
 // further changes before it reads them. A change that one node finds reaches the others by heartbeat, so the checks are
 // divided among all nodes that exchange heartbeats.
 type Checks struct {
-	clock clock.Clock
-	node  atomic.Pointer[Node]
+	node atomic.Pointer[Node]
 }
 
 // NewChecks returns checks without a node; until Follow is called they use the shortest interval and do not wait for
 // further changes.
-func NewChecks(c clock.Clock) *Checks { return &Checks{clock: c} }
+func NewChecks() *Checks { return &Checks{} }
 
 // Follow derives the intervals from the list of hosts and the heartbeat replies of a node.
 func (c *Checks) Follow(n *Node) { c.node.Store(n) }
@@ -53,25 +50,19 @@
 		return minCheckInterval
 	case len(list.Endpoints()) <= 1:
 		return aloneCheckInterval
-	case c.isIsolated(n):
+	case n.unansweredFor(isolatedAfter):
 		return minCheckInterval
 	}
 	interval := time.Duration(len(list.Endpoints())) * time.Second / checksPerSecond
 	return min(maxCheckInterval, max(minCheckInterval, interval))
 }
 
-func (c *Checks) isIsolated(n *Node) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return c.clock.Now().Sub(n.lastReplyAt) > isolatedAfter
-}
-
 // Standby reports whether the watchers of the node's availability zone follow the platform for it, so that it needs no watch
 // of its own: it is ready and not isolated, and there are as many watchers as there should be besides it. Changes that all
 // watchers have missed are found by the checks, which a node makes in any case.
 func (c *Checks) Standby() bool {
 	n := c.node.Load()
-	if n == nil || !n.Ready() || c.isIsolated(n) {
+	if n == nil || !n.Ready() || n.unansweredFor(isolatedAfter) {
 		return false
 	}
 	watchers := n.hosts.Load().Watchers(n.settings.zone, watchersPerZone)
--- a/lib/node/checks_test.go
+++ b/lib/node/checks_test.go
@@ -9,7 +9,6 @@
 
 	"github.com/matryer/is"
 
-	"tamarackrudder.org/lib/clock"
 	"tamarackrudder.org/lib/gossip"
 	"tamarackrudder.org/lib/node"
 	"tamarackrudder.org/lib/spread"
@@ -46,7 +45,7 @@
 			}
 			n := newListNode(seams)
 			t.Cleanup(n.Close)
-			checks := node.NewChecks(clock.System{})
+			checks := node.NewChecks()
 			is.True(!checks.Standby()) // without a node nobody follows the platform
 			checks.Follow(n)
 			awaitReady(t, n)
@@ -64,7 +63,7 @@
 	seams := listSeams(t, listed(t, 1))
 	n := newListNode(seams)
 	t.Cleanup(n.Close)
-	checks := node.NewChecks(clock.System{})
+	checks := node.NewChecks()
 	is.Equal(checks.Coalesce(), time.Duration(0))
 	checks.Follow(n)
 	awaitReady(t, n)
--- a/lib/node/watch.go
+++ b/lib/node/watch.go
@@ -57,9 +57,14 @@
 	if slices.Contains(list.Watchers(n.settings.zone, watchersPerZone), n.settings.self) {
 		return true
 	}
+	return n.unansweredFor(silenceTimeout)
+}
+
+// unansweredFor reports whether no peer has answered a heartbeat for longer than d.
+func (n *Node) unansweredFor(d time.Duration) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.clock.Now().Sub(n.lastReplyAt) > silenceTimeout
+	return n.clock.Now().Sub(n.lastReplyAt) > d
 }
 
 // jitter returns a random duration from half of d to one and a half of d.
--- a/tamarackd/wiring/platform.go
+++ b/tamarackd/wiring/platform.go
@@ -84,7 +84,7 @@
 	peers := relay.NewPeers(relay.DialTCP)
 	backend := back.New(s.backendAddr, s.conns, platform.Dialect())
 	_, peerPort, _ := net.SplitHostPort(s.rpcAddr)
-	checks := node.NewChecks(clock.System{})
+	checks := node.NewChecks()
 	feed := platform.NewFeed(ctx, platform.NewStore(s.platformAddr), clock.System{}, logger, peerPort,
 		platform.Intervals{Check: checks.Pause, Coalesce: checks.Coalesce, Standby: checks.Standby, Known: knownSequence(checks)})
 	nodeSettings := node.NewSettings(s.rpcAddr, s.service, s.zone).WithHeartbeat(s.heartbeat).WithControl(node.Control(s.control)).
