--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -17,8 +17,9 @@
 	contactTime = 3 * time.Second
 )
 
-// playLateCopy: the only endpoint of a service rejects a tenth of the requests, as a full one does. Its answers are garbled at times:
-// a second copy of some follows late. A non-idempotent request that is answered 503 must not have run.
+// playLateCopy: two of the three endpoints of a service are taken away as planned (scale_in). The one that is left rejects
+// a tenth of the requests, as a full one does. Its answers are garbled at times: a second copy of some follows late. A non-idempotent
+// request must not run twice, and must not have run if it is answered 503.
 func playLateCopy(trouble bool) (*world, *outcome, error) {
 	const (
 		shedShare   = 0.1
@@ -26,18 +27,21 @@
 		perSecond   = 90
 		period      = 10 * time.Second
 		doublesFor  = 5 * time.Second // of each period
-		length      = 90 * time.Second
+		length      = 80 * time.Second
 	)
-	w, err := newWorld(3, []string{"muscat-seeb", "dhofar-salalah", "batinah-sohar"})
+	w, err := newWorld(8, []string{"muscat-seeb", "dhofar-salalah", "batinah-sohar"})
 	if err != nil {
 		return nil, nil, err
 	}
 	pay := route{"/pay/", "unsafe", "ledger", 2000, 1000, 3}
 	read := route{"/read/", "safe", "desk", 2000, 1000, 2}
 	w.writeConfig(3, []string{"ledger", "desk"}, []route{pay, read})
-	if err := w.open([]string{"ledger", "desk", "desk"}, []int{40, 40, 40}); err != nil {
+	services := []string{"ledger", "ledger", "ledger", "desk", "desk", "desk", "desk", "desk"}
+	if err := w.open(services, []int{51, 51, 51, 51, 51, 51, 51, 51}); err != nil {
 		return w, nil, err
 	}
+	w.scaleIn(w.hosts[1:3])
+	hosts := append(w.hosts[:1:1], w.hosts[3:]...)
 	random, mu := rand.New(rand.NewPCG(7, 1)), sync.Mutex{}
 	draw := func() float64 {
 		mu.Lock()
@@ -55,8 +59,8 @@
 		}
 	}
 	var all sync.WaitGroup
-	all.Go(func() { w.steady(w.hosts[1:], read, 20, 20*time.Millisecond, 2*time.Second, length, nil) })
-	w.steady(w.hosts, pay, perSecond, 100*time.Millisecond, 2*time.Second, length, []byte("advance"))
+	all.Go(func() { w.steady(hosts, read, 20, 20*time.Millisecond, 2*time.Second, length, nil) })
+	w.steady(hosts, pay, perSecond, 100*time.Millisecond, 2*time.Second, length, []byte("advance"))
 	all.Wait()
 	time.Sleep(time.Second)
 	result := &outcome{}
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -292,6 +292,29 @@
 	<-h.ended
 }
 
+// scaleIn takes endpoints away as planned, with their machines: they report draining, serve for drain_ms and a little longer, remove
+// their entries and exit; then their nodes are told to stop.
+func (w *world) scaleIn(hosts []*host) {
+	for _, h := range hosts {
+		w.store.put(h.endpoint.key(), h.endpoint.entry("draining"))
+		w.record("endpoint %s on %s reports draining", h.endpoint.id, h.name)
+	}
+	time.Sleep(drainTime + 500*time.Millisecond)
+	for _, h := range hosts {
+		w.store.remove(h.endpoint.key())
+		h.endpoint.exit()
+		_ = h.node.Process.Signal(syscall.SIGTERM)
+	}
+	for _, h := range hosts {
+		select {
+		case <-h.ended:
+		case <-time.After(6 * time.Second): // grace_s
+			h.kill()
+		}
+		w.record("%s is gone", h.name)
+	}
+}
+
 // residentMB returns the resident memory of the node.
 func (h *host) residentMB() int {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", h.node.Process.Pid))
