--- a/review/stand/endpoint.go
+++ b/review/stand/endpoint.go
@@ -68,12 +68,11 @@
 	return e, nil
 }
 
-func (e *endpoint) key() string { return "servers/" + e.id }
+func (e *endpoint) key() string { return names.EntryPrefix + e.id }
 
 // entry returns the endpoint's entry in a state.
 func (e *endpoint) entry(state string) []byte {
-	return fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":%q,"cold_remaining_ms":0,`+
-		`"sequence":1,"born":%d}`, e.service, e.host.addr(portApp), e.host.zone, e.slots, state, e.born.UnixMilli())
+	return fmt.Appendf(nil, entryFormat, e.service, e.host.addr(portApp), e.host.zone, e.slots, state, e.born.UnixMilli())
 }
 
 // exit ends the endpoint with all its connections.
@@ -155,7 +154,7 @@
 			continue
 		}
 		if after, ok := e.doubles(); ok {
-			e.world.record("endpoint %s will send a second copy of its answer to %s in %s", e.id, next.request.Header.Get("X-Attempt-Id"), after)
+			e.world.record("endpoint %s will send a second copy of its answer to %s in %s", e.id, next.request.Header.Get(names.Attempt), after)
 			time.AfterFunc(after, func() {
 				writing.Lock()
 				defer writing.Unlock()
@@ -191,25 +190,25 @@
 
 // serve returns the answer to a request, nil if it was dropped.
 func (e *endpoint) serve(ctx context.Context, in incoming) []byte {
-	r, id := in.request, in.request.Header.Get("X-Attempt-Id")
+	r, id := in.request, in.request.Header.Get(names.Attempt)
 	if r.URL.Path == "/health" {
-		return message(200, "OK", "", "X-Instance-Id: "+e.id+"\r\n", "")
+		return message(200, "OK", "", field(names.Instance, e.id), "")
 	}
 	now := time.Now()
 	a := &arrival{
-		id: id, endpoint: e, at: now, method: r.Method, target: r.RequestURI, bodySum: sum(in.body), caller: r.Header.Get("X-Caller-Service"),
+		id: id, endpoint: e, at: now, method: r.Method, target: r.RequestURI, bodySum: sum(in.body), caller: r.Header.Get(names.Caller),
 	}
 	defer func() { e.world.arrived(a) }()
-	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != e.id {
+	if want := r.Header.Get(names.Expected); want != "" && want != e.id {
 		a.outcome = "421"
-		return message(421, "Misdirected Request", id, "X-Instance-Id: "+e.id+"\r\nX-Not-Executed: 1\r\n", "")
+		return message(421, "Misdirected Request", id, field(names.Instance, e.id)+field(names.NotExecuted, "1"), "")
 	}
-	full := message(503, "Service Unavailable", id, "X-Not-Executed: 1\r\n"+e.load(), "")
+	full := message(503, "Service Unavailable", id, field(names.NotExecuted, "1")+e.load(), "")
 	if e.sheds != nil && e.sheds() || e.waiting.Load() >= endpointQueue {
 		a.outcome = "shed"
 		return full
 	}
-	limit, err := strconv.ParseFloat(r.Header.Get("X-Deadline-Ms"), 64)
+	limit, err := strconv.ParseFloat(r.Header.Get(names.Deadline), 64)
 	if err != nil {
 		limit = 60_000
 	}
@@ -240,10 +239,10 @@
 	case <-time.After(time.Duration(work) * time.Millisecond * time.Duration(max(1, e.slowness.Load()))):
 		a.outcome = "200"
 		text := "answer to " + id + " " + strings.Repeat("x", 200)
-		return message(200, "OK", id, "X-Server-Stamp: "+stamp(id, e.id, text)+"\r\n"+e.load(), text)
+		return message(200, "OK", id, field(names.Stamp, stamp(id, e.id, text))+e.load(), text)
 	case <-timeout:
 		a.outcome = "504"
-		return message(504, "Gateway Timeout", id, "X-Server-Stamp: "+stamp(id, e.id, "")+"\r\n"+e.load(), "")
+		return message(504, "Gateway Timeout", id, field(names.Stamp, stamp(id, e.id, ""))+e.load(), "")
 	case <-ctx.Done():
 		a.outcome = "left"
 		return nil
@@ -255,12 +254,15 @@
 }
 
 func (e *endpoint) load() string {
-	return fmt.Sprintf("X-Server-Load: %d,%d,%d\r\n", len(e.running), e.waiting.Load(), e.slots)
+	return field(names.Load, fmt.Sprintf("%d,%d,%d", len(e.running), e.waiting.Load(), e.slots))
 }
 
+// field returns a header field as it is sent.
+func field(name, value string) string { return name + ": " + value + "\r\n" }
+
 func message(status int, reason, id, fields, body string) []byte {
 	if id != "" {
-		fields = "X-Attempt-Id: " + id + "\r\n" + fields
+		fields = field(names.Attempt, id) + fields
 	}
 	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\n%sKeep-Alive: timeout=10\r\nContent-Length: %d\r\n\r\n%s", status, reason, fields, len(body), body)
 }
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -118,7 +118,7 @@
 		reset(w)
 		return
 	}
-	if r.URL.Path == "/kv-watch" {
+	if r.URL.Path == names.WatchPath {
 		s.watch(l, cuts, w, r)
 		return
 	}
@@ -126,13 +126,13 @@
 	status, body := http.StatusOK, map[string]any{"at_rev": s.revision}
 	query := r.URL.Query()
 	switch r.URL.Path {
-	case "/kv-key":
+	case names.KeyPath:
 		i, ok := s.items[query.Get("key")]
 		if !ok {
 			status = http.StatusNotFound
 		}
 		body["key"], body["value"], body["revision"], body["created"], body["lease"] = i.Key, i.Value, i.Revision, i.Created, 0
-	case "/kv-range":
+	case names.RangePath:
 		found := []item{}
 		for _, key := range slices.Sorted(maps.Keys(s.items)) {
 			if key > query.Get("after") && strings.HasPrefix(key, query.Get("prefix")) {
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -188,70 +188,12 @@
 			"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
 		},
 	})
-	w.store.put("op/config", text)
+	w.store.put(names.ConfigKey, text)
 }
 
 func (h *host) settings(service string) string {
 	port := func(p int) string { return h.addr(p) }
-	return fmt.Sprintf(`node_name: %q
-role: "node"
-machine_class: "sidecar"
-serves:
-  - "sidecar"
-ip: %q
-zone: %q
-region: "muscat"
-listen:
-  inbound: %q
-  outbound: %q
-  ready: %q
-port_range:
-  - %d
-  - %d
-seed_nodes: []
-bootstrap: true
-limits:
-  cpu_share: 0.64
-  cpu_cores: 1
-  memory_mb: %d
-  max_fds: 4100
-  link_mbps: 1000.0
-  disk_mb: 0
-data_dir: null
-discovery: "platform"
-entry_point: "static"
-heartbeat_ms: 1500
-fault_tolerance:
-  machines: 2
-  zones: 0
-  regions: 0
-bounds:
-  - "seed_lag_s=3"
-  - "addr_reuse_s=2"
-  - "contact_ms=3000"
-  - "ack_ms=4000"
-  - "catch_up_s=4"
-  - "drain_ms=2000"
-  - "grace_s=6"
-  - "loss_slack_ms=200"
-  - "config_apply_ms=2000"
-  - "rollback_slack_ms=250"
-  - "max_stretch_ms=5000"
-  - "retry_budget_ratio=0.2"
-  - "retry_window_s=10"
-  - "retry_slack=49"
-  - "recovery_s=15"
-app_addr: %q
-service: %q
-platform:
-  address: %q
-  form: "read"
-  writes_per_s: 400
-  reads_per_s: 2000
-  history_s: 20
-  value_bytes: 1048576
-  min_ttl_ms: 1000
-`, h.name, h.ip, h.zone, port(portInbound), port(portOutbound), port(portReady), h.world.firstPort+portRange,
+	return fmt.Sprintf(settingsFormat, h.name, h.ip, h.zone, port(portInbound), port(portOutbound), port(portReady), h.world.firstPort+portRange,
 		h.world.firstPort+portCount-1, h.world.memoryMB, port(portApp), service, port(portStore))
 }
 
@@ -268,7 +210,7 @@
 	defer func() { _ = out.Close() }()
 	cmd := exec.Command(h.world.program, "platform")
 	cmd.Dir = h.world.root
-	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "TAMARACKRUDDER_BOOT=" + file}
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), names.SettingsVariable + "=" + file}
 	cmd.Stdout, cmd.Stderr = out, out
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
@@ -444,8 +386,8 @@
 	if a.unsafe || len(body) > 0 {
 		method = "POST"
 	}
-	head := fmt.Sprintf("%s %s%s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\nX-Work-Ms: %d\r\n", method, r.prefix, path, hostname,
-		a.id, limit.Milliseconds(), work.Milliseconds())
+	head := fmt.Sprintf("%s %s%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nX-Work-Ms: %d\r\n", method, r.prefix, path, hostname,
+		names.Attempt, a.id, names.Deadline, limit.Milliseconds(), work.Milliseconds())
 	if method == "POST" {
 		head += fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	}
@@ -473,7 +415,7 @@
 		_ = conn.Close()
 		return w.answered(a)
 	}
-	a.status, a.stamp, a.text = response.StatusCode, response.Header.Get("X-Server-Stamp"), string(text)
+	a.status, a.stamp, a.text = response.StatusCode, response.Header.Get(names.Stamp), string(text)
 	if response.Close {
 		_ = conn.Close()
 		return w.answered(a)
