--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -257,58 +256,6 @@
 	return w, result, nil
 }
 
-// playLargeBodies: clients send bodies within max_body_bytes, and the endpoints read them slowly. The stand-in of the platform kills a
-// process that exceeds memory_mb, and starts it again. Two machines on which that happens three times are a fault.
-func playLargeBodies(trouble bool) (*world, *outcome, error) {
-	const (
-		bodyBytes = 16 << 20
-		perSecond = 12
-		slowRead  = 4 << 20 // bytes a second
-		length    = 40 * time.Second
-	)
-	w, err := newWorld(4, []string{"muscat-seeb", "dhofar-salalah", "batinah-sohar"})
-	if err != nil {
-		return nil, nil, err
-	}
-	post := route{"/post/", "unsafe", "ledger", 8000, 4000, 2}
-	read := route{"/read/", "safe", "desk", 2000, 1000, 2}
-	w.writeConfig(3, []string{"ledger", "desk"}, []route{post, read})
-	if err := w.open([]string{"ledger", "desk", "ledger", "desk"}, []int{187, 187, 187, 187}); err != nil {
-		return w, nil, err
-	}
-	if trouble {
-		w.hosts[0].endpoint.readsBodies.Store(slowRead)
-		w.hosts[2].endpoint.readsBodies.Store(slowRead)
-	}
-	done := make(chan struct{})
-	var all sync.WaitGroup
-	ends, most := map[*host]int{}, map[*host]int{}
-	for _, h := range w.hosts {
-		all.Go(func() { w.enforceMemory(h, done, ends, most) })
-	}
-	body := bytes.Repeat([]byte("advance "), bodyBytes/8)
-	w.steady([]*host{w.hosts[1], w.hosts[3]}, post, perSecond, 50*time.Millisecond, 8*time.Second, length, body)
-	close(done)
-	all.Wait()
-	result := &outcome{}
-	often := 0
-	for _, h := range w.hosts {
-		result.find("%s: killed %d times for more than %d MB, at most %d MB resident", h.name, ends[h], w.memoryMB, most[h])
-		if ends[h] >= 3 {
-			often++
-		}
-	}
-	lost := 0
-	for _, a := range w.answers {
-		if a.err != nil {
-			lost++
-		}
-	}
-	result.broken = often >= 2
-	result.find("%d machines were killed three times or more; %d of %d requests got no answer", often, lost, len(w.answers))
-	return w, result, nil
-}
-
 // enforceMemory kills a node that exceeds its memory, and starts it again after a short delay.
 func (w *world) enforceMemory(h *host, done chan struct{}, ends, most map[*host]int) {
 	for {
--- a/review/stand/endpoint.go
+++ b/review/stand/endpoint.go
@@ -35,8 +35,6 @@
 	doubles func() (time.Duration, bool)
 	// crashes reports whether a request crashes each endpoint that begins to run it.
 	crashes func(r *http.Request) bool
-	// readsBodies is the rate at which bodies are read, in bytes a second, 0 for no limit.
-	readsBodies atomic.Int64
 	// slowness is the factor by which work takes longer, 0 for 1.
 	slowness atomic.Int64
 }
@@ -128,7 +126,7 @@
 			if err != nil {
 				return
 			}
-			body, err := e.readBody(r)
+			body, err := io.ReadAll(r.Body)
 			if err != nil {
 				return
 			}
@@ -168,26 +166,6 @@
 	e.mu.Unlock()
 }
 
-func (e *endpoint) readBody(r *http.Request) ([]byte, error) {
-	rate := e.readsBodies.Load()
-	if rate == 0 {
-		return io.ReadAll(r.Body)
-	}
-	var body []byte
-	part := make([]byte, rate/20)
-	for {
-		n, err := r.Body.Read(part)
-		body = append(body, part[:n]...)
-		if err == io.EOF {
-			return body, nil
-		}
-		if err != nil {
-			return nil, err
-		}
-		time.Sleep(time.Duration(n) * time.Second / time.Duration(rate))
-	}
-}
-
 // serve returns the answer to a request, nil if it was dropped.
 func (e *endpoint) serve(ctx context.Context, in incoming) []byte {
 	r, id := in.request, in.request.Header.Get(names.Attempt)
@@ -196,7 +174,7 @@
 	}
 	now := time.Now()
 	a := &arrival{
-		id: id, endpoint: e, at: now, method: r.Method, target: r.RequestURI, bodySum: sum(in.body), caller: r.Header.Get(names.Caller),
+		id: id, endpoint: e, at: now, method: r.Method, target: r.RequestURI, host: r.Host, bodySum: sum(in.body), caller: r.Header.Get(names.Caller),
 	}
 	defer func() { e.world.arrived(a) }()
 	if want := r.Header.Get(names.Expected); want != "" && want != e.id {
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -24,11 +24,11 @@
 )
 
 var cases = map[string]func(trouble bool) (*world, *outcome, error){
-	"late-copy":    playLateCopy,
-	"resurrected":  playResurrected,
-	"left-queue":   playLeftQueue,
-	"large-bodies": playLargeBodies,
-	"many-marks":   playManyMarks,
+	"late-copy":   playLateCopy,
+	"resurrected": playResurrected,
+	"left-queue":  playLeftQueue,
+	"many-marks":  playManyMarks,
+	"upload":      playUpload,
 }
 
 func main() {
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -68,6 +68,7 @@
 	outcome  string
 	method   string
 	target   string
+	host     string // as the endpoint reads it
 	bodySum  uint32
 	caller   string
 }
@@ -169,8 +170,8 @@
 	return os.WriteFile(path, []byte(strings.Join(w.lines, "\n")+"\n"), 0o644)
 }
 
-// writeConfig writes a version of the configuration.
-func (w *world) writeConfig(version int, services []string, routes []route) {
+// writeConfig writes a version of the configuration and returns when the store has acknowledged it.
+func (w *world) writeConfig(version int, services []string, routes []route) time.Time {
 	var rows, serviceRows [][]any
 	for i, r := range routes {
 		rows = append(rows, []any{"r-" + strconv.Itoa(i), hostname, r.prefix, r.kind, r.timeoutMS, r.targetMS, i, nil, r.maxAttempts, r.service})
@@ -188,7 +189,7 @@
 			"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
 		},
 	})
-	w.store.put(names.ConfigKey, text)
+	return w.store.put(names.ConfigKey, text)
 }
 
 func (h *host) settings(service string) string {
@@ -257,14 +258,14 @@
 	}
 }
 
-// residentMB returns the resident memory of the node.
+// residentMB returns the resident memory of the node without pages of files, such as its program.
 func (h *host) residentMB() int {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", h.node.Process.Pid))
 	if err != nil {
 		return 0
 	}
 	for line := range strings.SplitSeq(string(text), "\n") {
-		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+		if rest, ok := strings.CutPrefix(line, "RssAnon:"); ok {
 			kb, _ := strconv.Atoi(strings.Fields(rest)[0])
 			return kb >> 10
 		}
@@ -323,6 +324,9 @@
 type answer struct {
 	id     string
 	host   *host
+	method string
+	target string
+	kept   bool // it was sent on a connection that had brought an answer before
 	unsafe bool
 	sent   time.Time
 	ended  time.Time
@@ -343,7 +347,8 @@
 
 type clientConn struct {
 	net.Conn
-	in *bufio.Reader
+	in   *bufio.Reader
+	kept bool
 }
 
 func (c *client) take() (*clientConn, error) {
@@ -359,7 +364,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &clientConn{raw, bufio.NewReader(raw)}, nil
+	return &clientConn{Conn: raw, in: bufio.NewReader(raw)}, nil
 }
 
 // send sends one request with a path of its own and returns what became of it.
@@ -391,7 +396,7 @@
 	if method == "POST" {
 		head += fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	}
-	a.sent = time.Now()
+	a.method, a.target, a.kept, a.sent = method, r.prefix+path, conn.kept, time.Now()
 	_ = conn.SetDeadline(a.sent.Add(limit))
 	if len(body) == 0 {
 		w.record("client at %s sends %s %s%s as %s", c.host.name, method, r.prefix, path, a.id)
@@ -420,6 +425,7 @@
 		_ = conn.Close()
 		return w.answered(a)
 	}
+	conn.kept = true
 	c.mu.Lock()
 	c.idle = append(c.idle, conn)
 	c.mu.Unlock()
