--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -29,6 +29,7 @@
 	"left-queue":  playLeftQueue,
 	"many-marks":  playManyMarks,
 	"upload":      playUpload,
+	"slashes":     playSlashes,
 }
 
 func main() {
