--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -157,7 +157,8 @@
 }
 
 // playLeftQueue: one of three endpoints of a service turns slow, so that requests wait at its node for slots. Then it is taken away; it
-// never reports draining, its entry is removed. It must get no request later than drain_ms after that.
+// never reports draining, its entry is removed, and it serves on for drain_ms and a little longer. It must get no request later than
+// drain_ms after the removal. Those that it gets so are lost when it exits, though they could have run elsewhere.
 func playLeftQueue(trouble bool) (*world, *outcome, error) {
 	const (
 		perSecond = 60
@@ -165,6 +166,7 @@
 		limit     = 8 * time.Second
 		slowness  = 5
 		slowFor   = 8 * time.Second
+		lastsFor  = 5 * time.Second // the endpoint serves on after its removal
 	)
 	w, err := newWorld(6, []string{"muscat-seeb", "dhofar-salalah", "batinah-sohar"})
 	if err != nil {
@@ -183,14 +185,30 @@
 	leaver.slowness.Store(slowness)
 	w.record("endpoint %s turns slow", leaver.id)
 	time.AfterFunc(slowFor, func() { leaver.slowness.Store(1) })
-	time.Sleep(2500 * time.Millisecond)
+	time.Sleep(3 * time.Second)
 	removed := time.Now().Add(time.Hour)
 	if trouble {
 		removed = w.store.remove(leaver.key())
 		w.record("the entry of endpoint %s is removed", leaver.id)
+		time.AfterFunc(lastsFor, func() {
+			leaver.exit()
+			w.record("endpoint %s exits", leaver.id)
+		})
 	}
 	all.Wait()
-	return w, judgeDrain(w, leaver, removed), nil
+	result := judgeDrain(w, leaver, removed)
+	arrivals, lost := w.byID(), 0
+	for _, a := range w.answers {
+		if a.status == http.StatusBadGateway || a.status == http.StatusGatewayTimeout && a.stamp == "" || a.err != nil {
+			for _, at := range arrivals[a.id] {
+				if at.endpoint == leaver && at.at.Sub(removed) > drainTime {
+					lost++
+				}
+			}
+		}
+	}
+	result.find("%d of these requests were answered without the endpoint's answer", lost)
+	return w, result, nil
 }
 
 // playManyMarks: a request crashes each endpoint that begins to run it, and comes again. Later another one does the same, and then a
