conns: a connection carries no request that was refused on it

Cause: after a rejection the request is sent again at once, in a service with one usable endpoint to the same one, and the pool hands out the connection that was used last. Both attempts carry the same attempt ID, so a late second copy of the rejection is taken as the answer to the attempt that is running, and as the proof that it has not run.

Ruled out: an answer of another request (the IDs in the case are equal); net/http's own resend (each attempt is written once); copies read while the connection is idle (they are found, and the connection is closed).

Change: a connection keeps the IDs of requests that were refused on it and does not carry them again; the copy is then found as unrequested, or skipped because its ID is another request's. After 64 refusals the connection is closed, so the memory is bounded. A pool at its limit replaces an idle connection. Weighed: closing after each refusal (a new connection for each, which services price), remembering every request (more memory; only a refused request is ever sent again).

Before: TestLateCopyOfARefusalIsNotTheNextAnswer (both pool sizes), TestRefusalsKeepTheConnection and TestLateCopyOfARejection failed on the old code.

--- a/lib/back/back.go
+++ b/lib/back/back.go
@@ -88,7 +88,10 @@
 	request := c.newRequest(r)
 	c.dialect.Encode(request.Header, r, token)
 	belongs := func(header http.Header) bool { return c.dialect.Belongs(header, r) }
-	reply, err := c.pool.Do(ctx, conns.NewExchange(request, belongs, maxAnswerBody))
+	refused := func(status int, header http.Header) bool {
+		return c.dialect.RefusalReason(status, header, shedStatus) != verd.ReasonNone
+	}
+	reply, err := c.pool.Do(ctx, conns.NewExchange(request, belongs, maxAnswerBody).WithID(r.ID(), refused))
 	if err != nil {
 		return refusalFor(ctx, err)
 	}
--- a/lib/conns/exchange.go
+++ b/lib/conns/exchange.go
@@ -40,6 +40,8 @@
 	request *http.Request
 	matches func(http.Header) bool
 	maxBody int64
+	id      string
+	refused func(status int, header http.Header) bool
 }
 
 // NewExchange returns an exchange. matches reports, given the header of an answer, whether it belongs to this request
@@ -48,10 +50,17 @@
 	return Exchange{request: request, matches: matches, maxBody: maxBody}
 }
 
+// WithID returns the exchange with an ID that is common to all attempts to send a request. refused reports whether an answer
+// lets the request be sent again; the answers to both attempts then look alike, so each goes over a connection of its own.
+func (e Exchange) WithID(id string, refused func(status int, header http.Header) bool) Exchange {
+	e.id, e.refused = id, refused
+	return e
+}
+
 // Do sends a request once and reads its complete answer. The error is ErrUnsent, ErrLost or ErrTooLarge. When the
 // context ends, the connection is closed, from which the server can see that the answer is no longer awaited.
 func (p *Pool) Do(ctx context.Context, e Exchange) (Reply, error) {
-	c, err := p.acquire(ctx)
+	c, err := p.acquire(ctx, e.id)
 	if err != nil {
 		return Reply{}, err
 	}
@@ -72,6 +81,9 @@
 		return Reply{}, 0, err
 	}
 	reply, idle, err := c.receive(e)
+	if err == nil && e.refused != nil && e.refused(reply.status, reply.header) && !c.recordRefused(e.id) {
+		idle = 0
+	}
 	select {
 	case failure := <-written:
 		if failure != nil {
--- a/lib/conns/pool.go
+++ b/lib/conns/pool.go
@@ -21,6 +21,8 @@
 	defaultIdle       = 5 * time.Second
 	keepAliveInterval = time.Second
 	keepAliveProbes   = 2
+	// maxRefused is how many refused requests a connection carries until it is closed.
+	maxRefused = 64
 	// unackedTimeoutMS is how long sent bytes may stay unacknowledged, in milliseconds, before the kernel closes the
 	// connection.
 	unackedTimeoutMS = 3000
@@ -58,10 +60,20 @@
 	in      *bufio.Reader
 	out     *bufio.Writer
 	held    *budget     // of the pool
+	refused []string    // the IDs of requests that were refused on it; a second copy of a refusal may still arrive
 	expires time.Time   // from here on it is not reused
 	expiry  *time.Timer // closes it then
 }
 
+// recordRefused records that a request was refused on the connection, and reports whether the connection may carry others.
+func (c *conn) recordRefused(id string) bool {
+	c.refused = append(c.refused, id)
+	return len(c.refused) < maxRefused
+}
+
+// mayCarry reports whether the answer to a request cannot be confused with that to an earlier attempt.
+func (c *conn) mayCarry(id string) bool { return !slices.Contains(c.refused, id) }
+
 // Pool holds the connections to one server.
 type Pool struct {
 	addr     string
@@ -78,10 +90,10 @@
 	return &Pool{addr: addr, maxConns: maxConns, dial: dial, held: newBudget(maxHeldBytes)}
 }
 
-// acquire returns an idle connection that is usable, or opens one.
-func (p *Pool) acquire(ctx context.Context) (*conn, error) {
+// acquire returns an idle connection that is usable for the request with the ID, or opens one.
+func (p *Pool) acquire(ctx context.Context, id string) (*conn, error) {
 	for {
-		c := p.pop()
+		c := p.pop(id)
 		if c == nil {
 			return p.open(ctx)
 		}
@@ -92,27 +104,31 @@
 	}
 }
 
-func (p *Pool) pop() *conn {
+// pop takes the idle connection that was used last, of those that may carry the request with the ID.
+func (p *Pool) pop(id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	last := len(p.idle) - 1
-	if last < 0 {
-		return nil
+	for i, c := range slices.Backward(p.idle) {
+		if c.mayCarry(id) {
+			return p.take(i)
+		}
 	}
-	c := p.idle[last]
-	p.idle = p.idle[:last]
+	return nil
+}
+
+// take removes an idle connection by its index; the caller holds the lock.
+func (p *Pool) take(i int) *conn {
+	c := p.idle[i]
+	p.idle = slices.Delete(p.idle, i, i+1)
 	c.expiry.Stop()
 	return c
 }
 
+// open opens a connection. In a full pool it replaces the idle connection that was least recently used, if there is one.
 func (p *Pool) open(ctx context.Context) (*conn, error) {
-	p.mu.Lock()
-	if p.opened >= p.maxConns {
-		p.mu.Unlock()
-		return nil, fmt.Errorf("%w: %w", ErrUnsent, errPoolFull)
+	if err := p.reserve(); err != nil {
+		return nil, err
 	}
-	p.opened++
-	p.mu.Unlock()
 	raw, err := p.dial(ctx, p.addr)
 	if err != nil {
 		p.connClosed()
@@ -121,6 +137,21 @@
 	return newConn(raw, p.held), nil
 }
 
+// reserve makes room for one more connection.
+func (p *Pool) reserve() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case p.opened < p.maxConns:
+		p.opened++
+	case len(p.idle) > 0:
+		_ = p.take(0).Close() // the error is irrelevant: no request uses the connection
+	default:
+		return fmt.Errorf("%w: %w", ErrUnsent, errPoolFull)
+	}
+	return nil
+}
+
 func newConn(raw net.Conn, held *budget) *conn {
 	source := &limitedReader{r: raw}
 	return &conn{
