roster: lists of nodes that followed the platform all the while win

Cause: a watcher that alone was cut off from the store takes a removal that it finds afterwards for an entry that expired in an outage, and lets the endpoint count for 2.2 s. Its list outranked those of the nodes that had followed the store and had dropped the endpoint, so it came back everywhere. A list of the same revision won because it differed from what the store says, whichever of the two knew more. Any failed watch counted as an outage and began the 2.2 s anew.

Ruled out: a stale list of a peer coming back into force (versions never go down; the log shows the higher version of the node that was cut off); the store bringing the entry back (its revision does not change).

Change: a table that has followed the platform for 6 s without an outage makes certain lists, marked by one of the 8 low bits of the version, which win at the same revision. A doubtful removal found by reading everything does not move the version to the position of that reading. Doubt ends when the list in force is certain and lacks the endpoint. Outages under a heartbeat interval do not count as one. Endings of several states at once count as one change, so that the smaller count does not run out.

--- a/lib/node/checks.go
+++ b/lib/node/checks.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sync/atomic"
 	"time"
+
+	"tamarackrudder.org/lib/hosts"
 )
 
 const (
@@ -78,6 +80,18 @@
 	return n.hostsStore.Current().Version(), n.rulesStore.Current().Sequence()
 }
 
+// Listed returns the list of hosts in force as it was published, nil before the first.
+func (c *Checks) Listed() *hosts.List {
+	n := c.node.Load()
+	if n == nil {
+		return nil
+	}
+	if p := n.published.Load(); p != nil {
+		return p.list
+	}
+	return nil
+}
+
 // Coalesce returns how long to wait after a change, so that further ones are read with it. The changes of all endpoints
 // reach every node, so without the wait the number of requests would grow with the square of the number of nodes.
 func (c *Checks) Coalesce() time.Duration {
--- a/lib/roster/roster.go
+++ b/lib/roster/roster.go
@@ -14,9 +14,17 @@
 	missingGrace = 2200 * time.Millisecond
 	// expiryWindow is how long after an outage or a restoration a removed entry may have expired because its heartbeats did not arrive.
 	expiryWindow = time.Second
-	// localChangeBits is the number of low bits of a list's version that count changes made here; the bits above them
-	// hold the sequence of the platform's position.
+	// minOutage is the shortest outage of the platform in which an entry can expire: it does after three missed heartbeats
+	// of 1.5 s, of which one may be due just before the outage and one just after it.
+	minOutage = 1500 * time.Millisecond
+	// localChangeBits is the number of low bits of a list's version: whether the list is certain, and a count of changes
+	// made here. The bits above them hold the sequence of the platform's position.
 	localChangeBits = 8
+	certainBit      = 1 << (localChangeBits - 1)
+	maxLocalChanges = certainBit - 1
+	// certainAfter is how long a table must have followed the platform without a break until its lists are certain: entries
+	// from a backup are then known for what they are, and missing ones have expired.
+	certainAfter = outdatedTimeout
 )
 
 // state is how an entry counts in the list of hosts.
@@ -51,9 +59,12 @@
 	entries          map[string]*entry
 	tombstones       map[string]tombstone
 	position         Position
+	certain          bool // when the position was reached
 	localChanges     uint64
 	unreachableSince time.Time
+	reachedAt        time.Time // the last time that the platform was read
 	graceSince       time.Time // the end of the last outage, or the last restoration
+	followedSince    time.Time // from here on all changes are known
 	unreachable      bool
 	everRead         bool
 }
@@ -69,8 +80,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.entries, t.tombstones = map[string]*entry{}, map[string]tombstone{}
-	t.position, t.localChanges = Position{}, 0
-	t.unreachable, t.unreachableSince, t.graceSince = false, time.Time{}, time.Time{}
+	t.position, t.certain, t.localChanges = Position{}, false, 0
+	t.unreachable, t.unreachableSince, t.reachedAt = false, time.Time{}, time.Time{}
+	t.graceSince, t.followedSince = time.Time{}, time.Time{}
 	t.everRead = false
 }
 
@@ -97,22 +109,52 @@
 // advance records the platform's newest position, at which the count of local changes begins again.
 func (t *Table) advance(p Position) {
 	if p.After(t.position) {
-		t.position, t.localChanges = p, 0
+		t.position, t.localChanges, t.certain = p, 0, t.isCertain()
 	}
 }
 
-// Remove records that an entry was removed. The entry counts for a short time longer if it may only have expired. Changes
-// of another epoch than that of the last Replace are ignored.
-func (t *Table) Remove(name string, p Position) {
+// isCertain reports whether the platform has been followed for so long that no entry can be missing only for a while.
+func (t *Table) isCertain() bool {
+	return !t.unreachable && !t.followedSince.IsZero() && t.clock.Now().Sub(t.followedSince) >= certainAfter
+}
+
+// Remove records that an entry was removed, and reports whether it counts for a short time longer because it may only have
+// expired. Changes of another epoch than that of the last Replace are ignored.
+func (t *Table) Remove(name string, p Position) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	recorded, ok := t.entries[name]
 	if !ok || p.epoch != t.position.epoch || !p.After(recorded.position) {
-		return
+		return false
 	}
 	t.advance(p)
 	t.remove(name, recorded)
 	t.countDifference()
+	return recorded.state == expiring
+}
+
+// Confirm stops counting removed entries that a certain list of a peer does not have, and returns their names: that peer has
+// followed the platform all the while, so that the entries have not expired in an outage.
+func (t *Table) Confirm(list *hosts.List) []string {
+	if list == nil || list.Version()&certainBit == 0 {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var confirmed []string
+	for name, e := range t.entries {
+		listed, ok := list.Find(e.endpoint.RPCAddr())
+		isListed := ok && listed.Instance() == e.endpoint.Instance()
+		if e.state != expiring || isListed || SequenceOf(list.Version()) < e.position.Sequence() {
+			continue
+		}
+		t.bury(name, e)
+		confirmed = append(confirmed, name)
+	}
+	if len(confirmed) > 0 {
+		t.localChanges++
+	}
+	return confirmed
 }
 
 // countDifference counts a local change while the list differs from what the platform alone says, so that it wins over the
@@ -157,8 +199,9 @@
 	return NamedEntry{name: name, endpoint: e, position: p}
 }
 
-// Replace records all entries as read at a position. Recorded entries that are missing from them count as removed. What was
-// read in an older epoch than the recorded one is ignored. Replace returns the names of the entries whose endpoints stay
+// Replace records all entries as read at a position. Recorded entries that are missing from them count as removed; while one
+// of these may only have expired, the list does not win over those of peers that know when it was removed. What was read in
+// an older epoch than the recorded one is ignored. Replace returns the names of the entries whose endpoints stay
 // leaving or gone because the platform has brought back outdated ones.
 func (t *Table) Replace(all []NamedEntry, p Position) []string {
 	t.mu.Lock()
@@ -170,6 +213,9 @@
 	if restored {
 		t.startGrace(t.clock.Now())
 	}
+	if !t.everRead {
+		t.followedSince = t.clock.Now()
+	}
 	present := map[string]bool{}
 	for _, n := range all {
 		present[n.name] = true
@@ -179,12 +225,16 @@
 			t.put(n.name, n.endpoint, n.position)
 		}
 	}
+	doubtful := false
 	for name, recorded := range t.entries {
 		if !present[name] && !recorded.position.After(p) {
 			t.remove(name, recorded)
+			doubtful = doubtful || recorded.state == expiring
 		}
 	}
-	t.advance(p)
+	if restored || !doubtful {
+		t.advance(p)
+	}
 	t.countDifference()
 	t.everRead = true
 	return t.held()
@@ -199,23 +249,27 @@
 	}
 }
 
-// MarkReachable records that the platform can be read again, and returns for how long it could not, zero if it could.
+// MarkReachable records that the platform was read, and returns for how long it could not be, zero if it could.
 func (t *Table) MarkReachable() time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := t.clock.Now()
+	last := t.reachedAt
+	t.reachedAt = now
 	if !t.unreachable {
 		return 0
 	}
-	now := t.clock.Now()
 	t.unreachable = false
-	t.startGrace(now)
+	if now.Sub(last) >= minOutage {
+		t.startGrace(now)
+	}
 	return now.Sub(t.unreachableSince)
 }
 
 // startGrace lets missing entries count for missingGrace from now. Held entries stay so at least as long, since their
 // removal may have been missed.
 func (t *Table) startGrace(now time.Time) {
-	t.graceSince = now
+	t.graceSince, t.followedSince = now, now
 	end := now.Add(missingGrace)
 	for _, e := range t.entries {
 		if e.state == expiring || e.until.Before(end) {
@@ -244,13 +298,22 @@
 	for _, e := range newest {
 		endpoints = append(endpoints, e)
 	}
-	list, err := hosts.NewList(t.position.Sequence()<<localChangeBits|min(t.localChanges, 1<<localChangeBits-1), endpoints)
+	list, err := hosts.NewList(t.version(), endpoints)
 	if err != nil {
 		return nil, next, fmt.Errorf("roster: %w", err)
 	}
 	return list, next, nil
 }
 
+// version returns the version of the list in force. At the same position of the platform a certain list wins.
+func (t *Table) version() uint64 {
+	low := min(t.localChanges, maxLocalChanges)
+	if t.certain {
+		low |= certainBit
+	}
+	return t.position.Sequence()<<localChangeBits | low
+}
+
 // endStates ends the states of entries whose time is over, and returns when the next one ends, zero for never. While the
 // platform is unreachable no state ends.
 func (t *Table) endStates() time.Time {
@@ -259,6 +322,7 @@
 		return next
 	}
 	now := t.clock.Now()
+	ended := false
 	for name, e := range t.entries {
 		switch {
 		case e.state == published:
@@ -268,12 +332,15 @@
 			}
 		case e.state == expiring:
 			t.bury(name, e)
-			t.localChanges++
+			ended = true
 		default:
 			e.state, e.endpoint = published, e.outdated.WithHeartbeats(max(e.outdated.Heartbeats(), e.endpoint.Heartbeats()))
-			t.localChanges++
+			ended = true
 		}
 	}
+	if ended {
+		t.localChanges++
+	}
 	return next
 }
 
--- a/tamarackd/wiring/platform.go
+++ b/tamarackd/wiring/platform.go
@@ -86,7 +86,9 @@
 	_, peerPort, _ := net.SplitHostPort(s.rpcAddr)
 	checks := node.NewChecks()
 	feed := platform.NewFeed(ctx, platform.NewStore(s.platformAddr), clock.System{}, logger, peerPort,
-		platform.Intervals{Check: checks.Pause, Coalesce: checks.Coalesce, Standby: checks.Standby, Known: knownSequence(checks)})
+		platform.Intervals{
+			Check: checks.Pause, Coalesce: checks.Coalesce, Standby: checks.Standby, Known: knownSequence(checks), Listed: checks.Listed,
+		})
 	nodeSettings := node.NewSettings(s.rpcAddr, s.service, s.zone).WithHeartbeat(s.heartbeat).WithControl(node.Control(s.control)).
 		WithUntraced().WithAlwaysWatch().WithRetries(platformSettings.RetryRatio()*retryBudgetFraction,
 		platformSettings.RetrySlack()*retryBudgetFraction, platformSettings.RetryWindow())
