node: an endpoint that is listed no longer drains as a leaving one

Cause: applyHosts handled the own endpoint only while the list had it. A listed one that is leaving drains and its queue is flushed a second later; for one that is no longer listed only new requests were refused (exec). A crash suspect that waits for its turn escaped the flush in both cases.

Ruled out: entry nodes with an older list (all nodes drop the endpoint at once; the late requests come from its own node's queue); workers stuck in a connection attempt (the requests were sent when a slot became free).

Change: on untraced nodes an endpoint that was listed and no longer is counts as leaving: it drains, flushes its queue after a second, and serves again when it is listed again. After the flush runBackend refuses what had waited elsewhere. Without leases a change of the list takes effect in order; before, two goroutines could end a drain before it began. Weighed: flushing at once (requests that could be served within the drain time would be sent twice around).

--- a/lib/node/exec.go
+++ b/lib/node/exec.go
@@ -295,7 +295,10 @@
 // runBackend sends a request to the local backend server and records the outcome. If the context ended before the
 // answer, it also sends a request to the cancel path of the service, where the rules name one.
 func (n *Node) runBackend(ctx context.Context, r call.Request, service rules.Service, route string) call.Answer {
-	if n.settings.untraced && r.Deadline().Sub(n.clock.Now()) < minRunTime {
+	switch {
+	case n.flushed.Load():
+		return refuse(r, verd.ReasonLeaving) // it had waited elsewhere than in the queue
+	case n.settings.untraced && r.Deadline().Sub(n.clock.Now()) < minRunTime:
 		return refuse(r, verd.ReasonDeadline)
 	}
 	open := n.chain.Open(ctx, r)
--- a/lib/node/leave.go
+++ b/lib/node/leave.go
@@ -51,33 +51,41 @@
 // entry nodes send them elsewhere.
 func (n *Node) flushQueueAfterDelay() {
 	if n.wait(n.ctx, queueFlushDelay) && n.leaving.Load() {
+		n.flushed.Store(true)
 		n.queue.Flush()
 	}
 }
 
-// applyListedLeaving drains this endpoint while the platform's list marks it as leaving, and undrains it when the mark
-// is gone. It first waits for ownership under that list to become active, since until then no peer could take over the
-// keys without a gap.
+// applyListedLeaving drains this endpoint while it is leaving according to the platform's list, and undrains it when it no
+// longer is. With leases it first waits for ownership under that list to become active, since until then no peer could take
+// over the keys without a gap.
 func (n *Node) applyListedLeaving(leaving bool) {
 	if leaving && !n.leaving.Load() {
 		n.listedLeaving.Store(true)
-		go n.whenOwnershipActive(func() {
+		n.whenOwnershipActive(func() {
 			if n.listedLeaving.Load() {
 				n.Drain(n.ctx)
 			}
 		})
 	}
 	if !leaving && n.listedLeaving.CompareAndSwap(true, false) {
-		go n.whenOwnershipActive(n.Undrain)
+		n.whenOwnershipActive(n.Undrain)
 	}
 }
 
-// whenOwnershipActive calls do once ownership under the newest list is active, after pollTimeout at the latest.
+// whenOwnershipActive calls do at once if there are no leases, else in the background once ownership under the newest list is
+// active, after pollTimeout at the latest.
 func (n *Node) whenOwnershipActive(do func()) {
-	n.poll(n.ctx, func() bool { return !n.Leased() || n.group.Status().Active() })
-	if n.ctx.Err() == nil {
+	if !n.Leased() {
 		do()
+		return
 	}
+	go func() {
+		n.poll(n.ctx, func() bool { return !n.Leased() || n.group.Status().Active() })
+		if n.ctx.Err() == nil {
+			do()
+		}
+	}()
 }
 
 func (n *Node) waitReleaseAcknowledged(ctx context.Context) bool {
@@ -197,6 +205,7 @@
 	if n.stopping.Load() || !n.leaving.CompareAndSwap(true, false) {
 		return
 	}
+	n.flushed.Store(false)
 	_ = level.Info(n.log).Log("msg", "no longer leaving")
 	n.group.Resume()
 	n.claims.Thaw()
--- a/lib/node/node.go
+++ b/lib/node/node.go
@@ -57,6 +57,8 @@
 	leaving       atomic.Bool
 	stopping      atomic.Bool
 	listedLeaving atomic.Bool
+	flushed       atomic.Bool // nothing more goes to the backend server, until the endpoint no longer leaves
+	wasListed     atomic.Bool // this endpoint was in a list of hosts that was in force
 
 	refusesCallers atomic.Bool
 	refusesAll     atomic.Bool
@@ -211,13 +213,25 @@
 	n.adoptMembership(list)
 	_ = level.Info(n.log).Log("msg", "list of hosts in force", "version", list.Version(), "endpoints", len(list.Endpoints()))
 	n.triggerHeartbeat()
-	if local, listed := list.Find(n.settings.self); listed {
-		if local.Slots() > 0 {
-			n.limit.SetSlots(local.Slots())
-			n.queue.Wake()
+	n.applyLocalEndpoint()
+}
+
+// applyLocalEndpoint applies what the list of hosts in force says of this endpoint. On untraced nodes one that is no longer
+// listed is leaving as well, since some never announce it.
+func (n *Node) applyLocalEndpoint() {
+	local, listed := n.localEndpoint()
+	if !listed {
+		if n.settings.untraced && n.wasListed.Load() {
+			n.applyListedLeaving(true)
 		}
-		n.applyListedLeaving(local.Leaving())
+		return
+	}
+	n.wasListed.Store(true)
+	if local.Slots() > 0 {
+		n.limit.SetSlots(local.Slots())
+		n.queue.Wake()
 	}
+	n.applyListedLeaving(local.Leaving())
 }
 
 // Leased reports whether any route in force needs an owner for its keys; if none does, leases are neither requested nor
--- a/lib/node/untraced_test.go
+++ b/lib/node/untraced_test.go
@@ -32,19 +32,30 @@
 // newUntracedWithPeers is newUntraced with peers that run requests.
 func newUntracedWithPeers(
 	t *testing.T, values map[string]string, run func(ctx context.Context, r call.Request) (call.Answer, bool), peers execFunc,
+) *node.Node {
+	t.Helper()
+	return newWatchingUntraced(t, func(ctx context.Context, name string, after uint64, _ time.Duration) (uint64, []byte, error) {
+		if text, ok := values[name]; ok && after == 0 {
+			return 1, []byte(text), nil
+		}
+		<-ctx.Done()
+		return 0, nil, ctx.Err()
+	}, run, peers)
+}
+
+// watchFunc waits for a newer value of the platform.
+type watchFunc func(ctx context.Context, name string, after uint64, wait time.Duration) (uint64, []byte, error)
+
+// newWatchingUntraced returns an untraced node that gets the platform's values from a watch.
+func newWatchingUntraced(
+	t *testing.T, watch watchFunc, run func(ctx context.Context, r call.Request) (call.Answer, bool), peers execFunc,
 ) *node.Node {
 	t.Helper()
 	settings := node.NewSettings("10.0.0.1:1", "desk", "z0").WithUntraced().WithAlwaysWatch().WithHeartbeat(20 * time.Millisecond)
 	n := node.New(node.NewCommon(clock.System{}, log.NewNopLogger(), settings, node.Seams{
-		Run: func(ctx context.Context, r call.Request, _ string, _ int) (call.Answer, bool) { return run(ctx, r) },
-		Watch: func(ctx context.Context, name string, after uint64, _ time.Duration) (uint64, []byte, error) {
-			if text, ok := values[name]; ok && after == 0 {
-				return 1, []byte(text), nil
-			}
-			<-ctx.Done()
-			return 0, nil, ctx.Err()
-		},
-		Exec: peers,
+		Run:   func(ctx context.Context, r call.Request, _ string, _ int) (call.Answer, bool) { return run(ctx, r) },
+		Watch: watch,
+		Exec:  peers,
 		Heartbeat: func(context.Context, string, gossip.Heartbeat) (gossip.Heartbeat, error) {
 			return gossip.Heartbeat{}, errCut // peers of these tests only run requests
 		},
