node: requests name the instance of an endpoint that is listed no longer

What callers could see: a request that waited at a removed endpoint goes out without the instance that it is meant for, so another service's endpoint that has the address by then would run it.

Cause: prepareForBackend took the instance from the list in force, which has none for an endpoint that was removed.

Change: the node keeps its endpoint as it was last listed.

Before: TestRequestsNameTheInstanceUntilTheEnd failed. After: lib/node passes.

--- a/lib/node/exec.go
+++ b/lib/node/exec.go
@@ -318,10 +318,10 @@
 	return a.WithUnspentRetries(open.Ledger().Left()).WithDownstreamShed(open.Shed()).WithBackpressure(open.Backpressure())
 }
 
-// prepareForBackend sets the instance of the backend server that a request is meant for and, on untraced nodes, a
-// deadline that is earlier by deadlineMargin.
+// prepareForBackend sets the instance of the backend server that a request is meant for, also when it is listed no longer, and
+// on untraced nodes a deadline that is earlier by deadlineMargin.
 func (n *Node) prepareForBackend(r call.Request) call.Request {
-	if local, ok := n.localEndpoint(); ok {
+	if local := n.lastListed.Load(); local != nil {
 		r = r.WithInstance(local.Instance())
 	}
 	if n.settings.untraced {
--- a/lib/node/node.go
+++ b/lib/node/node.go
@@ -57,8 +57,8 @@
 	leaving       atomic.Bool
 	stopping      atomic.Bool
 	listedLeaving atomic.Bool
-	flushed       atomic.Bool // nothing more goes to the backend server, until the endpoint no longer leaves
-	wasListed     atomic.Bool // this endpoint was in a list of hosts that was in force
+	flushed       atomic.Bool                    // nothing more goes to the backend server, until the endpoint no longer leaves
+	lastListed    atomic.Pointer[hosts.Endpoint] // this endpoint as it was last listed, nil before
 
 	refusesCallers atomic.Bool
 	refusesAll     atomic.Bool
@@ -221,12 +221,12 @@
 func (n *Node) applyLocalEndpoint() {
 	local, listed := n.localEndpoint()
 	if !listed {
-		if n.settings.untraced && n.wasListed.Load() {
+		if n.settings.untraced && n.lastListed.Load() != nil {
 			n.applyListedLeaving(true)
 		}
 		return
 	}
-	n.wasListed.Store(true)
+	n.lastListed.Store(&local)
 	if local.Slots() > 0 {
 		n.limit.SetSlots(local.Slots())
 		n.queue.Wake()
--- a/lib/node/removed_test.go
+++ b/lib/node/removed_test.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	listedDesk  = "desk 10.0.0.1:1 z0\nshop 10.0.0.2:1 z0"
+	listedDesk  = "desk 10.0.0.1:1 z0 i-1\nshop 10.0.0.2:1 z0"
 	leavingDesk = "desk 10.0.0.1:1 z0 leaving\nshop 10.0.0.2:1 z0"
 	removedDesk = "shop 10.0.0.2:1 z0"
 	// leaveTimeout is the platform's bound for requests to an endpoint that leaves.
@@ -76,6 +76,34 @@
 	}
 }
 
+// TestRequestsNameTheInstanceUntilTheEnd guards against a request that is sent just after the endpoint was removed and runs at
+// another one that has its address by then.
+func TestRequestsNameTheInstanceUntilTheEnd(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	unnamed := &atomic.Int64{}
+	n, w := listedUntraced(t, func(_ context.Context, r call.Request) (call.Answer, bool) {
+		if r.Instance() != "i-1" {
+			unnamed.Add(1)
+		}
+		<-release
+		return call.NewAnswer(200, nil, nil), false
+	})
+	requests := 2 * n.Limit()
+	answers := make(chan call.Answer, requests)
+	for i := range requests {
+		go func() { answers <- n.Exec(context.Background(), deskRequest(fmt.Sprint(i))) }()
+	}
+	w.waitFor(t, "requests to wait", func() bool { return n.InFlight() >= requests+n.Limit() })
+	w.publish(node.NameHosts, removedDesk)
+	w.waitFor(t, "the endpoint to leave", n.Leaving)
+	close(release)
+	for range requests {
+		is.True((<-answers).Verdict().HasRun())
+	}
+	is.Equal(unnamed.Load(), int64(0))
+}
+
 // TestRemovedEndpointGetsNoSuspect guards against a crash suspect that waits for its turn and is sent to an endpoint that has
 // left meanwhile.
 func TestRemovedEndpointGetsNoSuspect(t *testing.T) {
--- a/lib/node/world_test.go
+++ b/lib/node/world_test.go
@@ -198,12 +198,17 @@
 	}
 }
 
+// decodeList decodes one endpoint a line: its service, address and zone, then an instance such as "i-1" or a mark that it is leaving.
 func decodeList(sequence uint64, text []byte) (*hosts.List, error) {
 	var endpoints []hosts.Endpoint
 	for line := range strings.Lines(string(text)) {
 		words := strings.Fields(line)
-		leaving := len(words) > 3
-		endpoints = append(endpoints, hosts.NewEndpoint(words[0], words[1], words[2], words[1], leaving))
+		instance := len(words) > 3 && strings.HasPrefix(words[3], "i-")
+		e := hosts.NewEndpoint(words[0], words[1], words[2], words[1], len(words) > 3 && !instance)
+		if instance {
+			e = e.WithInstance(words[3], time.Unix(1, 0))
+		}
+		endpoints = append(endpoints, e)
 	}
 	return hosts.NewList(sequence, endpoints)
 }
