roster: most entries removed at once have expired in an outage

Cause: a grace period for removed entries begins only after a failed watch. A store that is busy or silent keeps the waiting watches and reports the expiries in their answer, so that no watch fails.

Ruled out: real departures (each entry is back within a second, under the same id and start); a wrong list of one node (all nodes read the same).

Change: if more than half of the live entries, at least three, are removed in one answer, or are missing when everything is read, the grace period begins.

--- a/lib/roster/outage_test.go
+++ b/lib/roster/outage_test.go
@@ -1,6 +1,7 @@
 package roster_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -144,3 +145,47 @@
 		is.True(listOf(t, table).Version() > listOf(t, fresh).Version())
 	}
 }
+
+// TestManyRemovalsAtOnceAreAnOutage guards against a list without endpoints after an outage of the platform that no watch showed.
+func TestManyRemovalsAtOnceAreAnOutage(t *testing.T) {
+	const endpoints = 8
+	tests := []struct {
+		name    string
+		removed int
+		whole   bool // read whole, in place of the changes
+		want    int
+	}{
+		{"all expire", endpoints, false, endpoints},
+		{"most expire", 5, false, endpoints},
+		{"half of them leave", 4, false, 4},
+		{"all are missing when everything is read", endpoints, true, endpoints},
+		{"half of them are missing when everything is read", 4, true, 4},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			c := clock.NewManual(start)
+			table := roster.NewTable(c)
+			var all []roster.NamedEntry
+			var names []string
+			for i := range endpoints {
+				name := fmt.Sprint(i)
+				names = append(names, name)
+				all = append(all, roster.NewNamedEntry(name, endpoint("desk", "10.0.0."+name, start), at(1)))
+			}
+			table.Replace(all, at(5))
+			c.Advance(time.Minute)
+			if test.whole {
+				table.Replace(all[test.removed:], at(9))
+			} else {
+				table.AwaitRemovals(names[:test.removed])
+				for i, name := range names[:test.removed] {
+					table.Remove(name, at(uint64(6+i)))
+				}
+			}
+			is.Equal(len(listed(t, table)), test.want)
+			c.Advance(2500 * time.Millisecond)
+			is.Equal(len(listed(t, table)), endpoints-test.removed) // still missing, so they have left
+		})
+	}
+}
--- a/lib/roster/roster.go
+++ b/lib/roster/roster.go
@@ -17,6 +17,8 @@
 	// minOutage is the shortest outage of the platform in which an entry can expire: it does after three missed heartbeats
 	// of 1.5 s, of which one may be due just before the outage and one just after it.
 	minOutage = 1500 * time.Millisecond
+	// minMassRemoval is how many entries must be removed at once, and be more than half of all, to show an outage.
+	minMassRemoval = 3
 	// localChangeBits is the number of low bits of a list's version: whether the list is certain, and a count of changes
 	// made here. The bits above them hold the sequence of the platform's position.
 	localChangeBits = 8
@@ -133,6 +135,35 @@
 	return recorded.state == expiring
 }
 
+// AwaitRemovals records which entries the platform reports as removed at once, before they are removed one by one. If they are
+// most of all entries, they have expired in an outage that the platform's watches did not show: endpoints leave a few at a time.
+func (t *Table) AwaitRemovals(names []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	removed := map[string]bool{}
+	for _, name := range names {
+		removed[name] = true
+	}
+	t.detectOutage(func(name string) bool { return removed[name] })
+}
+
+// detectOutage begins a grace period if the removed entries are so many that they must have expired in an outage.
+func (t *Table) detectOutage(isRemoved func(name string) bool) {
+	live, removed := 0, 0
+	for name, e := range t.entries {
+		if e.state != published || e.endpoint.Leaving() {
+			continue
+		}
+		live++
+		if isRemoved(name) {
+			removed++
+		}
+	}
+	if removed >= minMassRemoval && 2*removed > live {
+		t.startGrace(t.clock.Now())
+	}
+}
+
 // Confirm stops counting removed entries that a certain list of a peer does not have, and returns their names: that peer has
 // followed the platform all the while, so that the entries have not expired in an outage.
 func (t *Table) Confirm(list *hosts.List) []string {
@@ -225,9 +256,11 @@
 			t.put(n.name, n.endpoint, n.position)
 		}
 	}
+	isRemoved := func(name string) bool { return !present[name] && !t.entries[name].position.After(p) }
+	t.detectOutage(isRemoved)
 	doubtful := false
 	for name, recorded := range t.entries {
-		if !present[name] && !recorded.position.After(p) {
+		if isRemoved(name) {
 			t.remove(name, recorded)
 			doubtful = doubtful || recorded.state == expiring
 		}
