node: the end of a drain cannot leave an endpoint that refuses everything

What callers could see: if a drain ends in the moment in which its flush begins, the mark that nothing more goes to the backend server could stay set on an endpoint that serves again, and all its requests would be refused.

Change: the mark counts only while the endpoint leaves, and each drain begins without it.

Tests of lib/node pass before and after; no test can hit the moment.

--- a/lib/node/exec.go
+++ b/lib/node/exec.go
@@ -11,7 +11,6 @@
 	"github.com/go-kit/log/level"
 
 	"tamarackrudder.org/lib/call"
-	"tamarackrudder.org/lib/claims"
 	"tamarackrudder.org/lib/crash"
 	"tamarackrudder.org/lib/queue"
 	"tamarackrudder.org/lib/rules"
@@ -32,10 +31,6 @@
 // deadline. A longer run was stuck in a suspended process.
 const maxDeadlineMultiple = 2
 
-// settleTimeout is how long after its deadline a non-idempotent request may still run, so that its answer can be
-// stored.
-const settleTimeout = 5 * time.Second
-
 // Exec runs a request on the local backend server or refuses it. The answer carries the load of this endpoint and,
 // depending on the settings, slot demand or back-pressure.
 func (n *Node) Exec(ctx context.Context, r call.Request) call.Answer {
@@ -88,51 +83,6 @@
 	return call.Refusal(verd.NotRun(reason)).WithUnspentRetries(r.Allowance())
 }
 
-// execDeduped runs a non-idempotent request at most once for its key. A repeated request gets the stored answer or
-// waits for the run in progress.
-func (n *Node) execDeduped(ctx context.Context, r call.Request, service rules.Service) call.Answer {
-	fingerprint := r.Fingerprint()
-	result, found := n.claims.Lookup(r.Key(), fingerprint)
-	if !found {
-		permit := n.group.Permit(r.Key())
-		if !permit.Allowed() {
-			return refuse(r, permit.Reason())
-		}
-		result = n.claims.Claim(r.Key(), fingerprint, claims.NewPermission(permit.At(), permit.Cutoff()), n.claimBounds(service))
-	}
-	switch result.Outcome() {
-	case claims.Answered:
-		return result.Answer().WithUnspentRetries(r.Allowance())
-	case claims.Running:
-		return n.awaitRunning(ctx, r, result.Settled())
-	}
-	a := n.execGuarded(ctx, r, service)
-	if a.Verdict() == verd.MayHaveRun(verd.ReasonDeadline) {
-		return a // runJob goes on after the deadline and settles the claim
-	}
-	n.settle(r, a)
-	return a.WithProvenNotRun(a.Verdict().IsNotRun())
-}
-
-func (n *Node) claimBounds(service rules.Service) claims.Bounds {
-	t := n.settings.terms
-	return claims.NewBounds(service.Horizon(), service.Keys(), t.Future(), t.Skew())
-}
-
-// awaitRunning waits for the end of an earlier request with the same key and returns its answer. If the earlier request
-// did not run, it refuses r as not run.
-func (n *Node) awaitRunning(ctx context.Context, r call.Request, settled <-chan struct{}) call.Answer {
-	select {
-	case <-settled:
-	case <-ctx.Done():
-		return call.Refusal(verd.MayHaveRun(verd.ReasonDeadline))
-	}
-	if a, ok := n.claims.Answer(r.Key()); ok {
-		return a
-	}
-	return refuse(r, verd.ReasonQueueFull).WithProvenNotRun(true)
-}
-
 // execGuarded refuses a request if this endpoint is leaving, its tenant is at the limit or its fingerprint is blocked
 // after crashes. Crash suspects run one at a time.
 func (n *Node) execGuarded(ctx context.Context, r call.Request, service rules.Service) call.Answer {
@@ -285,18 +235,11 @@
 		"cause", fmt.Sprint(cause), "stack", string(stack))
 }
 
-// settle stores the answer of a deduplicated request, or drops its claim if it did not run.
-func (n *Node) settle(r call.Request, a call.Answer) {
-	if r.Deduped() {
-		n.claims.Settle(r.Key(), a)
-	}
-}
-
 // runBackend sends a request to the local backend server and records the outcome. If the context ended before the
 // answer, it also sends a request to the cancel path of the service, where the rules name one.
 func (n *Node) runBackend(ctx context.Context, r call.Request, service rules.Service, route string) call.Answer {
 	switch {
-	case n.flushed.Load():
+	case n.leaving.Load() && n.flushed.Load():
 		return refuse(r, verd.ReasonLeaving) // it had waited elsewhere than in the queue
 	case n.settings.untraced && r.Deadline().Sub(n.clock.Now()) < minRunTime:
 		return refuse(r, verd.ReasonDeadline)
--- a/lib/node/leave.go
+++ b/lib/node/leave.go
@@ -32,6 +32,7 @@
 	if !n.leaving.CompareAndSwap(false, true) {
 		return
 	}
+	n.flushed.Store(false)
 	_ = level.Info(n.log).Log("msg", "leaving")
 	n.triggerHeartbeat()
 	if !n.Leased() {
@@ -205,7 +206,6 @@
 	if n.stopping.Load() || !n.leaving.CompareAndSwap(true, false) {
 		return
 	}
-	n.flushed.Store(false)
 	_ = level.Info(n.log).Log("msg", "no longer leaving")
 	n.group.Resume()
 	n.claims.Thaw()
--- a/lib/node/node.go
+++ b/lib/node/node.go
@@ -57,7 +57,7 @@
 	leaving       atomic.Bool
 	stopping      atomic.Bool
 	listedLeaving atomic.Bool
-	flushed       atomic.Bool                    // nothing more goes to the backend server, until the endpoint no longer leaves
+	flushed       atomic.Bool                    // while leaving: nothing more goes to the backend server
 	lastListed    atomic.Pointer[hosts.Endpoint] // this endpoint as it was last listed, nil before
 
 	refusesCallers atomic.Bool
