roster: outages and certainty have a file of their own

Moved without a change; AwaitRemovals is called DetectOutage, after what it decides. roster.go: 392 -> 262 lines. Tests of lib/roster and platform pass before and after.

--- /dev/null
+++ b/lib/roster/outage.go
@@ -0,0 +1,140 @@
+package roster
+
+import (
+	"time"
+
+	"tamarackrudder.org/lib/hosts"
+)
+
+const (
+	// missingGrace is how long a missing entry still counts after the platform has become reachable again or was restored.
+	missingGrace = 2200 * time.Millisecond
+	// expiryWindow is how long after an outage or a restoration a removed entry may have expired because its heartbeats did not arrive.
+	expiryWindow = time.Second
+	// minOutage is the shortest outage of the platform in which an entry can expire: it does after three missed heartbeats
+	// of 1.5 s, of which one may be due just before the outage and one just after it.
+	minOutage = 1500 * time.Millisecond
+	// minMassRemoval is how many entries must be removed at once, and be more than half of all, to show an outage.
+	minMassRemoval = 3
+	// certainAfter is how long a table must have followed the platform without a break until its lists are certain: entries
+	// from a backup are then known for what they are, and missing ones have expired.
+	certainAfter = outdatedTimeout
+)
+
+// MarkUnreachable records that the platform cannot be read.
+func (t *Table) MarkUnreachable() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.unreachable {
+		t.unreachable, t.unreachableSince = true, t.clock.Now()
+	}
+}
+
+// MarkReachable records that the platform was read, and returns for how long it could not be, zero if it could.
+func (t *Table) MarkReachable() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	last := t.reachedAt
+	t.reachedAt = now
+	if !t.unreachable {
+		return 0
+	}
+	t.unreachable = false
+	if now.Sub(last) >= minOutage {
+		t.startGrace(now)
+	}
+	return now.Sub(t.unreachableSince)
+}
+
+// startGrace lets missing entries count for missingGrace from now. Held entries stay so at least as long, since their
+// removal may have been missed.
+func (t *Table) startGrace(now time.Time) {
+	t.graceSince, t.followedSince = now, now
+	end := now.Add(missingGrace)
+	for _, e := range t.entries {
+		if e.state == expiring || e.until.Before(end) {
+			e.until = end
+		}
+	}
+}
+
+// IsUnreachable reports whether the platform could not be read when it was last tried.
+func (t *Table) IsUnreachable() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.unreachable
+}
+
+// mayHaveExpired reports whether entries may be missing only because their writers could not reach the platform, or have
+// not written them again since it was restored.
+func (t *Table) mayHaveExpired() bool {
+	return t.unreachable || (!t.graceSince.IsZero() && t.clock.Now().Sub(t.graceSince) < expiryWindow)
+}
+
+// DetectOutage is called with the entries that the platform reports as removed at once, before each Remove. If they are most of
+// all entries, they have expired in an outage that no watch showed, since endpoints leave a few at a time.
+func (t *Table) DetectOutage(names []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	removed := map[string]bool{}
+	for _, name := range names {
+		removed[name] = true
+	}
+	t.detectOutage(func(name string) bool { return removed[name] })
+}
+
+// detectOutage begins a grace period if the removed entries are so many that they must have expired in an outage.
+func (t *Table) detectOutage(isRemoved func(name string) bool) {
+	live, removed := 0, 0
+	for name, e := range t.entries {
+		if e.state != published || e.endpoint.Leaving() {
+			continue
+		}
+		live++
+		if isRemoved(name) {
+			removed++
+		}
+	}
+	if removed >= minMassRemoval && 2*removed > live {
+		t.startGrace(t.clock.Now())
+	}
+}
+
+// Confirm stops counting removed entries that a certain list of a peer does not have, and returns their names: that peer has
+// followed the platform all the while, so that the entries have not expired in an outage.
+func (t *Table) Confirm(list *hosts.List) []string {
+	if list == nil || list.Version()&certainBit == 0 {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var confirmed []string
+	for name, e := range t.entries {
+		listed, ok := list.Find(e.endpoint.RPCAddr())
+		isListed := ok && listed.Instance() == e.endpoint.Instance()
+		if e.state != expiring || isListed || SequenceOf(list.Version()) < e.position.Sequence() {
+			continue
+		}
+		t.bury(name, e)
+		confirmed = append(confirmed, name)
+	}
+	if len(confirmed) > 0 {
+		t.localChanges++
+	}
+	return confirmed
+}
+
+// isCertain reports whether the platform has been followed for so long that no entry can be missing only for a while.
+func (t *Table) isCertain() bool {
+	return !t.unreachable && !t.followedSince.IsZero() && t.clock.Now().Sub(t.followedSince) >= certainAfter
+}
+
+// version returns the version of the list in force. At the same position of the platform a certain list wins.
+func (t *Table) version() uint64 {
+	low := min(t.localChanges, maxLocalChanges)
+	if t.certain {
+		low |= certainBit
+	}
+	return t.position.Sequence()<<localChangeBits | low
+}
--- a/lib/roster/outage_test.go
+++ b/lib/roster/outage_test.go
@@ -178,7 +178,7 @@
 			if test.whole {
 				table.Replace(all[test.removed:], at(9))
 			} else {
-				table.AwaitRemovals(names[:test.removed])
+				table.DetectOutage(names[:test.removed])
 				for i, name := range names[:test.removed] {
 					table.Remove(name, at(uint64(6+i)))
 				}
--- a/lib/roster/roster.go
+++ b/lib/roster/roster.go
@@ -10,23 +10,11 @@
 )
 
 const (
-	// missingGrace is how long a missing entry still counts after the platform has become reachable again or was restored.
-	missingGrace = 2200 * time.Millisecond
-	// expiryWindow is how long after an outage or a restoration a removed entry may have expired because its heartbeats did not arrive.
-	expiryWindow = time.Second
-	// minOutage is the shortest outage of the platform in which an entry can expire: it does after three missed heartbeats
-	// of 1.5 s, of which one may be due just before the outage and one just after it.
-	minOutage = 1500 * time.Millisecond
-	// minMassRemoval is how many entries must be removed at once, and be more than half of all, to show an outage.
-	minMassRemoval = 3
 	// localChangeBits is the number of low bits of a list's version: whether the list is certain, and a count of changes
 	// made here. The bits above them hold the sequence of the platform's position.
 	localChangeBits = 8
 	certainBit      = 1 << (localChangeBits - 1)
 	maxLocalChanges = certainBit - 1
-	// certainAfter is how long a table must have followed the platform without a break until its lists are certain: entries
-	// from a backup are then known for what they are, and missing ones have expired.
-	certainAfter = outdatedTimeout
 )
 
 // state is how an entry counts in the list of hosts.
@@ -115,11 +103,6 @@
 	}
 }
 
-// isCertain reports whether the platform has been followed for so long that no entry can be missing only for a while.
-func (t *Table) isCertain() bool {
-	return !t.unreachable && !t.followedSince.IsZero() && t.clock.Now().Sub(t.followedSince) >= certainAfter
-}
-
 // Remove records that an entry was removed, and reports whether it counts for a short time longer because it may only have
 // expired. Changes of another epoch than that of the last Replace are ignored.
 func (t *Table) Remove(name string, p Position) bool {
@@ -135,59 +118,6 @@
 	return recorded.state == expiring
 }
 
-// AwaitRemovals records which entries the platform reports as removed at once, before they are removed one by one. If they are
-// most of all entries, they have expired in an outage that the platform's watches did not show: endpoints leave a few at a time.
-func (t *Table) AwaitRemovals(names []string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	removed := map[string]bool{}
-	for _, name := range names {
-		removed[name] = true
-	}
-	t.detectOutage(func(name string) bool { return removed[name] })
-}
-
-// detectOutage begins a grace period if the removed entries are so many that they must have expired in an outage.
-func (t *Table) detectOutage(isRemoved func(name string) bool) {
-	live, removed := 0, 0
-	for name, e := range t.entries {
-		if e.state != published || e.endpoint.Leaving() {
-			continue
-		}
-		live++
-		if isRemoved(name) {
-			removed++
-		}
-	}
-	if removed >= minMassRemoval && 2*removed > live {
-		t.startGrace(t.clock.Now())
-	}
-}
-
-// Confirm stops counting removed entries that a certain list of a peer does not have, and returns their names: that peer has
-// followed the platform all the while, so that the entries have not expired in an outage.
-func (t *Table) Confirm(list *hosts.List) []string {
-	if list == nil || list.Version()&certainBit == 0 {
-		return nil
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var confirmed []string
-	for name, e := range t.entries {
-		listed, ok := list.Find(e.endpoint.RPCAddr())
-		isListed := ok && listed.Instance() == e.endpoint.Instance()
-		if e.state != expiring || isListed || SequenceOf(list.Version()) < e.position.Sequence() {
-			continue
-		}
-		t.bury(name, e)
-		confirmed = append(confirmed, name)
-	}
-	if len(confirmed) > 0 {
-		t.localChanges++
-	}
-	return confirmed
-}
-
 // countDifference counts a local change while the list differs from what the platform alone says, so that it wins over the
 // list of a node that knows no more than that.
 func (t *Table) countDifference() {
@@ -212,12 +142,6 @@
 	}
 }
 
-// mayHaveExpired reports whether entries may be missing only because their writers could not reach the platform, or have
-// not written them again since it was restored.
-func (t *Table) mayHaveExpired() bool {
-	return t.unreachable || (!t.graceSince.IsZero() && t.clock.Now().Sub(t.graceSince) < expiryWindow)
-}
-
 // NamedEntry is an entry with its name at the platform and the position of its last change.
 type NamedEntry struct {
 	name     string
@@ -273,44 +197,6 @@
 	return t.held()
 }
 
-// MarkUnreachable records that the platform cannot be read.
-func (t *Table) MarkUnreachable() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if !t.unreachable {
-		t.unreachable, t.unreachableSince = true, t.clock.Now()
-	}
-}
-
-// MarkReachable records that the platform was read, and returns for how long it could not be, zero if it could.
-func (t *Table) MarkReachable() time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.clock.Now()
-	last := t.reachedAt
-	t.reachedAt = now
-	if !t.unreachable {
-		return 0
-	}
-	t.unreachable = false
-	if now.Sub(last) >= minOutage {
-		t.startGrace(now)
-	}
-	return now.Sub(t.unreachableSince)
-}
-
-// startGrace lets missing entries count for missingGrace from now. Held entries stay so at least as long, since their
-// removal may have been missed.
-func (t *Table) startGrace(now time.Time) {
-	t.graceSince, t.followedSince = now, now
-	end := now.Add(missingGrace)
-	for _, e := range t.entries {
-		if e.state == expiring || e.until.Before(end) {
-			e.until = end
-		}
-	}
-}
-
 // List returns the list in force, and when it will change without an update because the state of an entry ends, zero for
 // never.
 func (t *Table) List() (*hosts.List, time.Time, error) {
@@ -338,15 +224,6 @@
 	return list, next, nil
 }
 
-// version returns the version of the list in force. At the same position of the platform a certain list wins.
-func (t *Table) version() uint64 {
-	low := min(t.localChanges, maxLocalChanges)
-	if t.certain {
-		low |= certainBit
-	}
-	return t.position.Sequence()<<localChangeBits | low
-}
-
 // endStates ends the states of entries whose time is over, and returns when the next one ends, zero for never. While the
 // platform is unreachable no state ends.
 func (t *Table) endStates() time.Time {
@@ -383,10 +260,3 @@
 	defer t.mu.Unlock()
 	return t.everRead
 }
-
-// IsUnreachable reports whether the platform could not be read when it was last tried.
-func (t *Table) IsUnreachable() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.unreachable
-}
