--- a/lib/roster/outage_test.go
+++ b/lib/roster/outage_test.go
@@ -16,13 +16,13 @@
 // platform was then away for one of them, and reachable for the other all the while.
 type pair struct {
 	clock    *clock.Manual
-	cut, fed *roster.Table
+	cut, steady *roster.Table
 }
 
 func newPair(outage time.Duration) pair {
 	c := clock.NewManual(start)
-	p := pair{clock: c, cut: roster.NewTable(c), fed: roster.NewTable(c)}
-	for _, table := range []*roster.Table{p.cut, p.fed} {
+	p := pair{clock: c, cut: roster.NewTable(c), steady: roster.NewTable(c)}
+	for _, table := range []*roster.Table{p.cut, p.steady} {
 		table.MarkReachable()
 		table.Replace([]roster.NamedEntry{
 			roster.NewNamedEntry("a", endpoint("desk", "10.0.0.1", start), at(5)),
@@ -54,10 +54,10 @@
 		table.Replace([]roster.NamedEntry{roster.NewNamedEntry("b", endpoint("desk", "10.0.0.2", start), at(6))}, at(9))
 	}
 	tests := []struct {
-		name  string
-		whole func(*roster.Table) // what the table that was cut off sees
-		fed   func(*roster.Table)
-		after time.Duration // from the end of the outage to the removal
+		name   string
+		cut    func(*roster.Table) // what the table sees that was cut off
+		steady func(*roster.Table)
+		after  time.Duration // from the end of the outage to the removal
 	}{
 		{"removed in the outage", remove, remove, 0},
 		{"removed just after the outage", remove, remove, 900 * time.Millisecond},
@@ -70,13 +70,13 @@
 			p := newPair(3 * time.Second)
 			p.cut.MarkReachable()
 			p.clock.Advance(test.after)
-			test.fed(p.fed)
-			test.whole(p.cut)
+			test.steady(p.steady)
+			test.cut(p.cut)
 			for range 30 {
-				is.True(listOf(t, p.cut).Version() < listOf(t, p.fed).Version())
+				is.True(listOf(t, p.cut).Version() < listOf(t, p.steady).Version())
 				p.clock.Advance(100 * time.Millisecond)
 			}
-			_, listed := listOf(t, p.fed).Find("10.0.0.1:1")
+			_, listed := listOf(t, p.steady).Find("10.0.0.1:1")
 			is.True(!listed)
 		})
 	}
@@ -90,10 +90,10 @@
 		want bool
 	}{
 		{"a peer that has followed the platform", func(p pair) *roster.Table {
-			p.fed.Remove("a", at(7))
-			return p.fed
+			p.steady.Remove("a", at(7))
+			return p.steady
 		}, true},
-		{"a peer that does not know it yet", func(p pair) *roster.Table { return p.fed }, false},
+		{"a peer that does not know it yet", func(p pair) *roster.Table { return p.steady }, false},
 		{"a peer that has just been started", func(p pair) *roster.Table {
 			fresh := roster.NewTable(p.clock)
 			fresh.Replace([]roster.NamedEntry{roster.NewNamedEntry("b", endpoint("desk", "10.0.0.2", start), at(6))}, at(7))
@@ -133,11 +133,11 @@
 func TestOutageOfThePlatformKeepsEndpoints(t *testing.T) {
 	is := is.New(t)
 	p := newPair(5 * time.Second)
-	p.fed.MarkUnreachable()
+	p.steady.MarkUnreachable()
 	p.clock.Advance(5 * time.Second)
 	fresh := roster.NewTable(p.clock)
 	fresh.Replace(nil, at(8))
-	for _, table := range []*roster.Table{p.cut, p.fed} {
+	for _, table := range []*roster.Table{p.cut, p.steady} {
 		table.MarkReachable()
 		table.Remove("a", at(7))
 		table.Remove("b", at(8))
@@ -152,7 +152,7 @@
 	tests := []struct {
 		name    string
 		removed int
-		whole   bool // read whole, in place of the changes
+		whole   bool // everything is read, in place of the changes
 		want    int
 	}{
 		{"all expire", endpoints, false, endpoints},
