--- a/lib/roster/outage_test.go
+++ b/lib/roster/outage_test.go
@@ -15,7 +15,7 @@
 // pair is two tables that have followed the platform for a while, with the endpoints a and b at revisions 5 and 6. The
 // platform was then away for one of them, and reachable for the other all the while.
 type pair struct {
-	clock    *clock.Manual
+	clock       *clock.Manual
 	cut, steady *roster.Table
 }
 
