--- a/lib/node/removed_test.go
+++ b/lib/node/removed_test.go
@@ -37,6 +37,15 @@
 	return call.NewRequest(id, "GET", "/items/1", "").WithRoute("desk", false).WithDeadline(time.Now().Add(waitTimeout))
 }
 
+// sendToDesk has a peer send requests at the same moment, and returns the channel of their answers.
+func sendToDesk(n *node.Node, requests int) <-chan call.Answer {
+	answers := make(chan call.Answer, requests)
+	for i := range requests {
+		go func() { answers <- n.Exec(context.Background(), deskRequest(fmt.Sprint(i))) }()
+	}
+	return answers
+}
+
 // TestRemovedEndpointRefusesQueuedRequests guards against requests that wait at an endpoint which the platform no longer lists,
 // reach it late and are lost with it.
 func TestRemovedEndpointRefusesQueuedRequests(t *testing.T) {
@@ -52,17 +61,15 @@
 			})
 			running := n.Limit()
 			requests := 4 * running
-			answers := make(chan call.Answer, requests)
-			for i := range requests {
-				go func() { answers <- n.Exec(context.Background(), deskRequest(fmt.Sprint(i))) }()
-			}
+			answers := sendToDesk(n, requests)
 			w.waitFor(t, "all requests to be in flight", func() bool { return n.Running() == running && n.InFlight() >= requests+running })
 			w.publish(node.NameHosts, list)
+			expired := time.After(leaveTimeout)
 			for range requests - running {
 				select {
 				case a := <-answers:
 					is.Equal(a.Verdict(), verd.NotRun(verd.ReasonLeaving)) // so that the entry nodes send it elsewhere
-				case <-time.After(leaveTimeout):
+				case <-expired:
 					close(release)
 					t.Fatal("requests still wait")
 				}
@@ -90,10 +97,7 @@
 		return call.NewAnswer(200, nil, nil), false
 	})
 	requests := 2 * n.Limit()
-	answers := make(chan call.Answer, requests)
-	for i := range requests {
-		go func() { answers <- n.Exec(context.Background(), deskRequest(fmt.Sprint(i))) }()
-	}
+	answers := sendToDesk(n, requests)
 	w.waitFor(t, "requests to wait", func() bool { return n.InFlight() >= requests+n.Limit() })
 	w.publish(node.NameHosts, removedDesk)
 	w.waitFor(t, "the endpoint to leave", n.Leaving)
--- a/lib/roster/outage.go
+++ b/lib/roster/outage.go
@@ -111,9 +111,10 @@
 	defer t.mu.Unlock()
 	var confirmed []string
 	for name, e := range t.entries {
-		listed, ok := list.Find(e.endpoint.RPCAddr())
-		isListed := ok && listed.Instance() == e.endpoint.Instance()
-		if e.state != expiring || isListed || SequenceOf(list.Version()) < e.position.Sequence() {
+		if e.state != expiring || SequenceOf(list.Version()) < e.position.Sequence() {
+			continue
+		}
+		if listed, ok := list.Find(e.endpoint.RPCAddr()); ok && listed.Instance() == e.endpoint.Instance() {
 			continue
 		}
 		t.bury(name, e)
