budget, front, relay: all request bodies in hand share one memory

Cause: nothing bounded the bodies together; each attempt built the whole message with the body again, in the encoder, the frame, and at the peer in the frame and the decoder; and a message above the limit was noticed only while it was written, and closed the connection that all requests to the peer share. Ruled out: a leak (memory falls after each), the runtime's soft limit (it frees no live bytes), slow endpoints (they read and answer at once).

Change: lib/budget, one budget in bytes for all request bodies of callers and of peers, two fifths of the process's memory, taken by Content-Length before the body is read or as it grows, given back on every way out; long bodies leave an eighth to short ones. No room: 503 bodiesFull with Retry-After at once; never fits: 413. Bodies stay in segments and are not encoded any more: between nodes a body over 64 KiB follows its message over a connection of its own, once the peer has granted the memory; a part of a body that was not sent whole has not run. Peers of older builds get it within the message. The runtime's soft limit follows the memory as well. A caller has its timeout to send the body.

--- a/lib/back/back.go
+++ b/lib/back/back.go
@@ -1,7 +1,6 @@
 package back
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -109,10 +108,10 @@
 		Method: r.Method(), URL: &url.URL{Scheme: "http", Host: c.addr, Opaque: r.Path(), RawQuery: r.Query()},
 		Host: r.Host(), Header: make(http.Header, len(r.Fields())+spareHeaderFields),
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		ContentLength: int64(len(r.Body())),
+		ContentLength: int64(r.Body().Len()),
 	}
-	if len(r.Body()) > 0 {
-		request.Body = io.NopCloser(bytes.NewReader(r.Body()))
+	if r.Body().Len() > 0 {
+		request.Body = io.NopCloser(r.Body().NewReader())
 	}
 	request.Header["User-Agent"] = nil // else net/http adds its default value
 	for _, f := range r.Fields() {
--- a/lib/back/back_test.go
+++ b/lib/back/back_test.go
@@ -139,7 +139,7 @@
 
 func request(t *testing.T, method, body string) call.Request {
 	t.Helper()
-	return call.NewRequest("id", method, "/x", "").WithBody([]byte(body)).WithKey("key").
+	return call.NewRequest("id", method, "/x", "").WithBody(call.NewBody([]byte(body))).WithKey("key").
 		WithDeadline(time.Now().Add(time.Minute))
 }
 
--- a/lib/call/request.go
+++ b/lib/call/request.go
@@ -14,7 +14,7 @@
 	path             string
 	query            string
 	fields           []Field
-	body             []byte
+	body             Body
 	key              string
 	tenant           string
 	service          string
@@ -44,7 +44,7 @@
 func (r Request) WithFields(fields []Field) Request { r.fields = fields; return r }
 
 // WithBody returns the request with its complete body.
-func (r Request) WithBody(body []byte) Request { r.body = body; return r }
+func (r Request) WithBody(body Body) Request { r.body = body; return r }
 
 // WithKey returns the request with its idempotency key, empty for none.
 func (r Request) WithKey(key string) Request { r.key = key; return r }
@@ -121,8 +121,8 @@
 // Fields returns the header fields that are passed on to the backend server; the slice must not be modified.
 func (r Request) Fields() []Field { return r.fields }
 
-// Body returns the complete body; it must not be modified.
-func (r Request) Body() []byte { return r.body }
+// Body returns the complete body.
+func (r Request) Body() Body { return r.body }
 
 // Key returns the idempotency key, empty for none.
 func (r Request) Key() string { return r.key }
@@ -195,6 +195,8 @@
 		_, _ = d.WriteString(part)
 		_, _ = d.Write([]byte{0})
 	}
-	_, _ = d.Write(r.body)
+	for _, segment := range r.body.Segments() {
+		_, _ = d.Write(segment)
+	}
 	return d.Sum64()
 }
--- a/lib/front/front.go
+++ b/lib/front/front.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -12,6 +10,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"tamarackrudder.org/lib/budget"
 	"tamarackrudder.org/lib/call"
 	"tamarackrudder.org/lib/verd"
 )
@@ -47,20 +46,16 @@
 	Serve Serve
 	// NewID returns a new unique identifier for a request.
 	NewID func() string
+	// Refuse records a request that is refused before it was read completely, and returns its answer.
+	Refuse func(r call.Request, v verd.Verdict) call.Answer
+	// Bodies is the memory for all request bodies in hand.
+	Bodies *budget.Budget
 	// MaxBody returns the size in bytes of the largest request body that any service accepts, 0 if it is not known yet.
 	MaxBody func() int64
 	// Leaving reports whether responses close their connections, so that callers connect to another node.
 	Leaving func() bool
 }
 
-// BodyLimit returns the number of bytes of a request's body that are read: what the services accept, at most the given number.
-func (s Seams) BodyLimit(most int64) int64 {
-	if accepted := s.MaxBody(); accepted > 0 {
-		return min(most, accepted)
-	}
-	return most
-}
-
 // New returns the handler for requests of callers, on any method and path.
 func New(seams Seams) http.Handler {
 	e := echo.New()
@@ -78,42 +73,25 @@
 	if c.seams.Leaving() {
 		ec.Response().Header().Set(echo.HeaderConnection, "close")
 	}
-	r, refusal := c.read(ec)
-	if refusal != nil {
-		return write(ec, r.ID(), call.AcrossAttempts(r, call.Refusal(*refusal)))
-	}
-	return write(ec, r.ID(), c.seams.Serve(ec.Request().Context(), r))
+	r, reason := c.readHead(ec.Request())
+	return write(ec, r.ID(), c.seams.Handle(ec, r, MaxBody, reason))
 }
 
-// read converts an HTTP request. It returns a verdict if the request cannot be served; the returned request then has only
-// the parts that were read before.
-func (c controller) read(ec echo.Context) (call.Request, *verd.Verdict) {
-	h := ec.Request()
+// readHead converts an HTTP request without its body. It returns a reason if the request must be refused; the returned request
+// then has only the parts that were read before.
+func (c controller) readHead(h *http.Request) (call.Request, verd.Reason) {
 	key := h.Header.Get(HeaderKey)
 	r := call.NewRequest(c.seams.NewID(), h.Method, h.URL.EscapedPath(), h.URL.RawQuery).
 		WithKey(key).WithFresh(h.Header.Get(HeaderFresh) == "true")
-	body, err := ReadBody(ec.Response().Writer, h, c.seams.BodyLimit(MaxBody))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return r, refuse(verd.ReasonBodyTooLarge)
-	}
-	if err != nil {
-		return r, refuse(verd.ReasonBodyTruncated)
-	}
 	timeout, err := readTimeout(h.Header.Get(HeaderTimeout))
 	if err != nil || len(h.Header.Get(HeaderTenant)) > maxTenantBytes {
-		return r, refuse(verd.ReasonBadRequest)
+		return r, verd.ReasonBadRequest
 	}
 	if len(key) > maxKeyBytes {
-		return r, refuse(verd.ReasonKeyUnreadable)
+		return r, verd.ReasonKeyUnreadable
 	}
-	r = r.WithBody(body).WithFields(EndToEndFields(h.Header, isProjectField)).WithTimeout(timeout)
-	return r.WithTenant(h.Header.Get(HeaderTenant)).WithParentToken(h.Header.Get(HeaderContext)), nil
-}
-
-func refuse(reason verd.Reason) *verd.Verdict {
-	v := verd.NotRun(reason)
-	return &v
+	r = r.WithFields(EndToEndFields(h.Header, isProjectField)).WithTimeout(timeout)
+	return r.WithTenant(h.Header.Get(HeaderTenant)).WithParentToken(h.Header.Get(HeaderContext)), verd.ReasonNone
 }
 
 func readTimeout(text string) (time.Duration, error) {
@@ -127,16 +105,6 @@
 	return time.Duration(ms) * time.Millisecond, nil
 }
 
-// ReadBody reads the complete body of a request. A body of more than maxBytes fails with an *http.MaxBytesError, one that
-// ends before its announced length with io.ErrUnexpectedEOF. After a body that is too large the connection is closed, since the
-// rest of the body is not read.
-func ReadBody(w http.ResponseWriter, h *http.Request, maxBytes int64) ([]byte, error) {
-	if h.ContentLength == 0 {
-		return nil, nil
-	}
-	return io.ReadAll(http.MaxBytesReader(w, h.Body, maxBytes))
-}
-
 // isProjectField reports whether a field belongs to the interface between caller and node, so that it is not passed on.
 func isProjectField(name string) bool {
 	return strings.HasPrefix(name, headerPrefix) || name == HeaderKey
--- a/lib/front/front_test.go
+++ b/lib/front/front_test.go
@@ -13,22 +13,29 @@
 
 	"github.com/matryer/is"
 
+	"tamarackrudder.org/lib/budget"
 	"tamarackrudder.org/lib/call"
 	"tamarackrudder.org/lib/front"
 	"tamarackrudder.org/lib/verd"
 )
 
+func seams(serve front.Serve, bodies *budget.Budget) front.Seams {
+	return front.Seams{
+		Serve: serve, Bodies: bodies, NewID: func() string { return "id" }, MaxBody: func() int64 { return 0 },
+		Refuse:  func(r call.Request, v verd.Verdict) call.Answer { return call.AcrossAttempts(r, call.Refusal(v)) },
+		Leaving: func() bool { return false },
+	}
+}
+
 func start(t *testing.T, serve front.Serve) *httptest.Server {
 	t.Helper()
-	s := httptest.NewServer(front.New(front.Seams{
-		Serve: serve, NewID: func() string { return "id" }, MaxBody: func() int64 { return 0 }, Leaving: func() bool { return false },
-	}))
+	s := httptest.NewServer(front.New(seams(serve, budget.New(64<<20, 8<<20))))
 	t.Cleanup(s.Close)
 	return s
 }
 
 func echo(_ context.Context, r call.Request) call.Answer {
-	return call.NewAnswer(201, []call.Field{call.NewField("X-Path", r.Path())}, r.Body())
+	return call.NewAnswer(201, []call.Field{call.NewField("X-Path", r.Path())}, r.Body().Bytes())
 }
 
 func TestHeaders(t *testing.T) {
--- a/lib/front/text.go
+++ b/lib/front/text.go
@@ -32,8 +32,9 @@
 var reasonTexts = map[verd.Reason]string{
 	verd.ReasonUnknownRoute:    "no rule fits this method and path",
 	verd.ReasonBadRequest:      "the request or one of its header fields cannot be read",
-	verd.ReasonBodyTooLarge:    "the body is larger than the rules allow",
+	verd.ReasonBodyTooLarge:    "the body is larger than the rules or the memory of this node allow",
 	verd.ReasonBodyTruncated:   "the body ended before its announced length",
+	verd.ReasonBodiesFull:      "the bodies of other requests take all memory that a node has for them",
 	verd.ReasonKeyMissing:      "this route needs an Idempotency-Key",
 	verd.ReasonKeyUnreadable:   "the Idempotency-Key carries no mint time that this node can trust yet; use a UUIDv7",
 	verd.ReasonKeyReused:       "the Idempotency-Key belongs to another request",
--- a/lib/node/attempt.go
+++ b/lib/node/attempt.go
@@ -88,7 +88,7 @@
 		return false // it may have crashed two backend servers by now
 	}
 	switch v.Reason() {
-	case verd.ReasonQueueFull, verd.ReasonBackendShed, verd.ReasonAnswerLost, verd.ReasonConnLost,
+	case verd.ReasonQueueFull, verd.ReasonBodiesFull, verd.ReasonBackendShed, verd.ReasonAnswerLost, verd.ReasonConnLost,
 		verd.ReasonSilent, verd.ReasonLinkSilent:
 	default:
 		return false
@@ -174,7 +174,11 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answered := make(chan call.Answer, 1)
-	go func() { answered <- n.send(ctx, addr, r) }()
+	release := r.Body().Retain()
+	go func() {
+		defer release()
+		answered <- n.send(ctx, addr, r)
+	}()
 	for {
 		select {
 		case a := <-answered:
--- a/lib/node/entry.go
+++ b/lib/node/entry.go
@@ -71,6 +71,11 @@
 	return a
 }
 
+// Refuse refuses a request that was not read completely, so that it has not run.
+func (n *Node) Refuse(r call.Request, v verd.Verdict) call.Answer {
+	return n.refuse(&entry{request: r}, v, n.clock.Now())
+}
+
 // admit matches a request to its route in the rules in force and sets its limits. It returns a verdict if the request
 // has to be refused before any attempt.
 func (n *Node) admit(r call.Request) (*entry, *verd.Verdict) {
@@ -94,7 +99,7 @@
 	e.slots = service.Slots()
 	e.request = r.WithRoute(name, route.NonIdempotent()).WithLatencyObjective(route.LatencyObjective()).
 		WithClass(class.Name(), class.Priority())
-	if len(r.Body()) > service.MaxBody() {
+	if r.Body().Len() > service.MaxBody() {
 		return e, notRun(verd.ReasonBodyTooLarge)
 	}
 	if route.Keyed() && r.Key() == "" {
--- a/lib/node/exec.go
+++ b/lib/node/exec.go
@@ -208,6 +208,8 @@
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(n.ctx, r.Deadline().Add(settleTimeout))
 		defer cancel()
+		release := r.Body().Retain()
+		defer release()
 	}
 	a := n.runGuarded(ctx, r, service, route)
 	n.settle(r, a)
--- a/lib/node/promise_test.go
+++ b/lib/node/promise_test.go
@@ -64,7 +64,7 @@
 				for i := range test.fanOut {
 					// The backend server retries by itself; its second call has to come out of the allowance.
 					for range 2 {
-						body := fmt.Appendf(r.Body(), "/%d", i)
+						body := fmt.Appendf(r.Body().Bytes(), "/%d", i)
 						if downstream("GET", "/"+services[depth+1], "", body).Verdict().HasRun() {
 							break
 						}
--- a/lib/node/world_test.go
+++ b/lib/node/world_test.go
@@ -151,7 +151,7 @@
 		return call.Refusal(verd.MayHaveRun(verd.ReasonAnswerLost)), true
 	}
 	downstream := func(method, path, key string, body []byte) call.Answer {
-		request := call.NewRequest(uuid.NewString(), method, path, "").WithBody(body).WithKey(key).WithFresh(true)
+		request := call.NewRequest(uuid.NewString(), method, path, "").WithBody(call.NewBody(body)).WithKey(key).WithFresh(true)
 		return local.Serve(context.Background(), request.WithParentToken(token))
 	}
 	return w.backend(at, r, downstream)
@@ -226,10 +226,10 @@
 }
 
 func (w *world) serve(at, method, path, key, body string) call.Answer {
-	request := call.NewRequest(uuid.NewString(), method, path, "").WithBody([]byte(body)).WithKey(key)
+	request := call.NewRequest(uuid.NewString(), method, path, "").WithBody(call.NewBody([]byte(body))).WithKey(key)
 	return w.nodes[at].Serve(context.Background(), request)
 }
 
 func key() string { return uuid.Must(uuid.NewV7()).String() }
 
-func ok(r call.Request) call.Answer { return call.NewAnswer(200, nil, r.Body()) }
+func ok(r call.Request) call.Answer { return call.NewAnswer(200, nil, r.Body().Bytes()) }
--- a/lib/relay/codec.go
+++ b/lib/relay/codec.go
@@ -42,6 +42,7 @@
 	in      *bufio.Reader
 	decoder *gob.Decoder
 	frame   bytes.Buffer
+	began   time.Time // when the frame that was read last began to arrive
 	writeMu sync.Mutex
 	out     bytes.Buffer
 	encoder *gob.Encoder
@@ -88,6 +89,7 @@
 	if _, err := io.ReadFull(f.in, header[:]); err != nil {
 		return err
 	}
+	f.began = time.Now()
 	size := binary.BigEndian.Uint32(header[:])
 	if size > maxFrame {
 		return fmt.Errorf("%w: %d bytes, limit is %d", errFrameTooLarge, size, maxFrame)
@@ -114,9 +116,28 @@
 	return nil
 }
 
+// write sends a message in one frame. The body of a long request follows the frame, directly from the memory that holds it.
 func (f *framedConn) write(header, body any) error {
 	f.writeMu.Lock()
 	defer f.writeMu.Unlock()
+	if err := f.writeFrame(header, body); err != nil {
+		return err
+	}
+	long, ok := body.(*LongWire)
+	if !ok {
+		return nil
+	}
+	for _, segment := range long.segments {
+		if _, err := f.conn.Write(segment); err != nil {
+			_ = f.conn.Close()
+			return fmt.Errorf("write body to peer: %w", err)
+		}
+	}
+	long.sent = true
+	return nil
+}
+
+func (f *framedConn) writeFrame(header, body any) error {
 	f.out.Reset()
 	f.out.Write(make([]byte, frameHeaderSize))
 	if err := errors.Join(f.encoder.Encode(header), f.encoder.Encode(body)); err != nil {
@@ -155,6 +176,7 @@
 // serverCodec is the rpc.ServerCodec of a framed connection.
 type serverCodec struct {
 	*framedConn
+	grant *grant
 	// lost is called once no further request can be read; net/rpc then still waits for the calls that run.
 	lost func()
 }
@@ -169,7 +191,21 @@
 }
 
 // ReadRequestBody decodes the body of the request whose header was read last; a nil body discards it.
-func (c serverCodec) ReadRequestBody(body any) error { return c.readBody(body) }
+func (c serverCodec) ReadRequestBody(body any) error {
+	if err := c.readBody(body); err != nil {
+		return err
+	}
+	long, ok := body.(*LongWire)
+	if !ok {
+		return nil
+	}
+	long.received = c.began
+	var err error
+	if long.segments, err = c.grant.read(c.in, long.Length); err != nil {
+		_ = c.conn.Close() // the rest of the body would be taken for a message
+	}
+	return err
+}
 
 // WriteResponse sends the header and the body of a response in one frame.
 func (c serverCodec) WriteResponse(r *rpc.Response, body any) error { return c.write(r, body) }
--- a/lib/relay/convert.go
+++ b/lib/relay/convert.go
@@ -29,19 +29,20 @@
 	return fields
 }
 
+// toRequestWire converts a request without its body.
 func toRequestWire(r call.Request, remaining time.Duration) RequestWire {
 	return RequestWire{
 		ID: r.ID(), Method: r.Method(), Path: r.Path(), Query: r.Query(),
-		Fields: toFieldWires(r.Fields()), Body: r.Body(), Key: r.Key(), Tenant: r.Tenant(),
+		Fields: toFieldWires(r.Fields()), Key: r.Key(), Tenant: r.Tenant(),
 		Service: r.Service(), Class: r.Class(), Priority: r.Priority(), NonIdempotent: r.NonIdempotent(),
 		Remaining: remaining, Allowance: r.Allowance(), Suspect: r.CrashSuspect(), Again: r.RetryFraction(),
 		Host: r.Host(), Caller: r.EntryService(), Goal: r.LatencyObjective(), Deeper: r.Downstream(),
 	}
 }
 
-func (w RequestWire) request(now time.Time) call.Request {
+func (w RequestWire) request(body call.Body, now time.Time) call.Request {
 	return call.NewRequest(w.ID, w.Method, w.Path, w.Query).
-		WithFields(fromFieldWires(w.Fields)).WithBody(w.Body).WithKey(w.Key).WithTenant(w.Tenant).
+		WithFields(fromFieldWires(w.Fields)).WithBody(body).WithKey(w.Key).WithTenant(w.Tenant).
 		WithRoute(w.Service, w.NonIdempotent).WithClass(w.Class, w.Priority).
 		WithDeadline(now.Add(w.Remaining)).WithAllowance(w.Allowance).WithCrashSuspect(w.Suspect).WithRetryFraction(w.Again).
 		WithHost(w.Host).WithEntryService(w.Caller).WithLatencyObjective(w.Goal).WithDownstream(w.Deeper)
--- a/lib/relay/diff_test.go
+++ b/lib/relay/diff_test.go
@@ -32,6 +32,7 @@
 	is.NoErr(err)
 	l := listen(t)
 	s := relay.NewServer(l, relay.Handlers{
+		Bodies:     newBodies(),
 		FetchHosts: func(known hosts.Digest) hosts.Diff { return list.DiffFrom(known, 4) },
 	})
 	go func() { _ = s.Serve() }()
@@ -101,6 +102,7 @@
 	l := listen(t)
 	near := func(string) string { return "near" }
 	s := relay.NewServer(l, relay.Handlers{
+		Bodies:     newBodies(),
 		FetchHosts: func(known hosts.Digest) hosts.Diff { return list.DiffFrom(known, 4) }, Locate: near,
 	})
 	go func() { _ = s.Serve() }()
--- a/lib/relay/peers.go
+++ b/lib/relay/peers.go
@@ -94,16 +94,27 @@
 	if client, conn := l.current(); client != nil {
 		return client, conn, nil
 	}
-	conn, err := p.dial(ctx, addr)
+	conn, err := p.open(ctx, addr)
 	if err != nil {
 		return nil, nil, err
 	}
+	client, monitored := l.replace(conn, p.locator())
+	return client, monitored, nil
+}
+
+// open opens a connection to a peer of the same protocol version.
+func (p *Peers) open(ctx context.Context, addr string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := p.dial(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
 	if err := exchangeGreetings(ctx, conn); err != nil {
 		_ = conn.Close()
-		return nil, nil, err
+		return nil, err
 	}
-	client, monitored := l.replace(conn, p.locator())
-	return client, monitored, nil
+	return conn, nil
 }
 
 // drop removes a connection that has failed, unless it was replaced already.
@@ -120,36 +131,58 @@
 // if the request cannot have reached the peer, or if the peer rejected the rpc call itself. When the caller cancels, Exec
 // forwards the cancellation to the peer and awaits its answer for cancelGrace.
 func (p *Peers) Exec(ctx context.Context, addr string, r call.Request) call.Answer {
+	if r.Body().Len() > maxShortBody {
+		return p.execLong(ctx, addr, r)
+	}
 	client, conn, err := p.client(ctx, addr)
 	if err != nil {
 		return call.Refusal(verd.NotRun(dialReason(err)))
 	}
-	conn.requestSent()
-	defer conn.requestEnded()
+	args := toRequestWire(r, time.Until(r.Deadline()))
+	args.Body = r.Body().Bytes()
+	return p.exec(ctx, route{addr: addr, client: client, conn: conn, shared: true}, r, func(reply *AnswerWire) *rpc.Call {
+		return client.Go(serviceName+".Exec", args, reply, make(chan *rpc.Call, 1))
+	})
+}
+
+// route is the connection to a peer over which a request is sent. One that is shared by requests is checked for silence.
+type route struct {
+	addr   string
+	client *rpc.Client
+	conn   *monitoredConn
+	shared bool
+}
+
+// exec sends a request to a peer and awaits the answer.
+func (p *Peers) exec(ctx context.Context, to route, r call.Request, send func(reply *AnswerWire) *rpc.Call) call.Answer {
+	to.conn.requestSent()
+	defer to.conn.requestEnded()
 	var reply AnswerWire
-	remaining := time.Until(r.Deadline())
-	pending := client.Go(serviceName+".Exec", toRequestWire(r, remaining), &reply, make(chan *rpc.Call, 1))
-	lateTimer := time.NewTimer(remaining + answerGrace)
+	pending := send(&reply)
+	lateTimer := time.NewTimer(time.Until(r.Deadline()) + answerGrace)
 	defer lateTimer.Stop()
 	silenceCheck := time.NewTicker(pingAfter)
 	defer silenceCheck.Stop()
+	if !to.shared {
+		silenceCheck.Stop()
+	}
 	canceled := ctx.Done()
 	for {
 		select {
 		case <-pending.Done:
-			return p.answerOf(addr, client, pending, &reply)
+			return p.answerOf(to, pending, &reply)
 		case <-lateTimer.C:
 			return call.Refusal(verd.MayHaveRun(lateReason(ctx)))
 		case <-silenceCheck.C:
-			if conn.isSilent() && !r.NonIdempotent() {
-				return p.silentAnswer(ctx, addr)
+			if to.conn.isSilent() && !r.NonIdempotent() {
+				return p.silentAnswer(ctx, to.addr)
 			}
-			conn.pingIfDue(client)
+			to.conn.pingIfDue(to.client)
 		case <-canceled:
 			canceled = nil // the peer's answer states whether the request ran, so it is still awaited
 			silenceCheck.Stop()
 			if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
-				client.Go(serviceName+".Cancel", r.ID(), &Empty{}, make(chan *rpc.Call, 1))
+				to.client.Go(serviceName+".Cancel", r.ID(), &Empty{}, make(chan *rpc.Call, 1))
 				lateTimer.Reset(min(cancelGrace, time.Until(r.Deadline())+answerGrace))
 			}
 		}
@@ -185,11 +218,11 @@
 // answerOf returns the answer of a finished call. After an error it distinguishes a request that cannot have reached the
 // peer from one whose answer did not arrive: net/rpc returns ErrShutdown only for a request that it did not write, and a
 // peer does not read a frame that was written in part.
-func (p *Peers) answerOf(addr string, client *rpc.Client, pending *rpc.Call, reply *AnswerWire) call.Answer {
+func (p *Peers) answerOf(to route, pending *rpc.Call, reply *AnswerWire) call.Answer {
 	if pending.Error == nil {
 		return reply.answer()
 	}
-	p.drop(addr, client)
+	p.drop(to.addr, to.client)
 	var refused rpc.ServerError
 	switch {
 	case errors.As(pending.Error, &refused):
--- a/lib/relay/relay_test.go
+++ b/lib/relay/relay_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"tamarackrudder.org/lib/budget"
 	"tamarackrudder.org/lib/call"
 	"tamarackrudder.org/lib/gossip"
 	"tamarackrudder.org/lib/hosts"
@@ -36,6 +37,7 @@
 	t.Helper()
 	l := listen(t)
 	s := relay.NewServer(l, relay.Handlers{
+		Bodies:    newBodies(),
 		Exec:      exec,
 		Heartbeat: func(b gossip.Heartbeat) gossip.Heartbeat { return b },
 		Fetch:     func(name string) spread.Value { return spread.NewValue(1, 2, []byte(name)) },
@@ -50,16 +52,21 @@
 }
 
 func request(id, body string, timeout time.Duration) call.Request {
-	return call.NewRequest(id, "POST", "/x", "").WithBody([]byte(body)).WithDeadline(time.Now().Add(timeout))
+	return call.NewRequest(id, "POST", "/x", "").WithBody(call.NewBody([]byte(body))).WithDeadline(time.Now().Add(timeout))
 }
 
-func echo(_ context.Context, r call.Request) call.Answer { return call.NewAnswer(200, nil, r.Body()) }
+// newBodies returns a budget in which only the largest bodies of these tests do not fit.
+func newBodies() *budget.Budget { return budget.New(64<<20, 8<<20) }
+
+func echo(_ context.Context, r call.Request) call.Answer {
+	return call.NewAnswer(200, nil, r.Body().Bytes())
+}
 
 // TestEveryAnswerReachesItsRequest guards against mixing up answers of concurrent requests on one connection.
 func TestEveryAnswerReachesItsRequest(t *testing.T) {
 	is := is.New(t)
 	addr := serve(t, func(ctx context.Context, r call.Request) call.Answer {
-		time.Sleep(time.Duration(len(r.Body())%7) * time.Millisecond) // so that answers come in another order than requests
+		time.Sleep(time.Duration(r.Body().Len()%7) * time.Millisecond) // so that answers come in another order than requests
 		return echo(ctx, r)
 	})
 	peers := relay.NewPeers(relay.DialTCP)
--- a/lib/relay/robust_test.go
+++ b/lib/relay/robust_test.go
@@ -42,7 +42,7 @@
 	is := is.New(t)
 	l := &failingListener{Listener: listen(t)}
 	l.left.Store(3)
-	s := relay.NewServer(l, relay.Handlers{Exec: echo})
+	s := relay.NewServer(l, relay.Handlers{Exec: echo, Bodies: newBodies()})
 	served := make(chan error, 1)
 	go func() { served <- s.Serve() }()
 	a := relay.NewPeers(relay.DialTCP).Exec(t.Context(), l.Addr().String(), request("1", "body", time.Minute))
@@ -56,6 +56,7 @@
 	is := is.New(t)
 	l := listen(t)
 	s := relay.NewServer(l, relay.Handlers{
+		Bodies: newBodies(),
 		Exec: func(ctx context.Context, r call.Request) call.Answer {
 			if r.ID() == "bad" {
 				panic("bad request")
@@ -110,7 +111,8 @@
 		f.Fatal(err)
 	}
 	s := relay.NewServer(l, relay.Handlers{
-		Exec: echo, Heartbeat: func(b gossip.Heartbeat) gossip.Heartbeat { return b },
+		Bodies: newBodies(),
+		Exec:   echo, Heartbeat: func(b gossip.Heartbeat) gossip.Heartbeat { return b },
 		FetchHosts: func(known hosts.Digest) hosts.Diff { return hosts.NewDiff(1, 1, nil, nil) },
 	})
 	go func() { _ = s.Serve() }()
--- a/lib/relay/server.go
+++ b/lib/relay/server.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"tamarackrudder.org/lib/budget"
 	"tamarackrudder.org/lib/call"
 	"tamarackrudder.org/lib/gossip"
 	"tamarackrudder.org/lib/hosts"
@@ -50,6 +51,8 @@
 	Handover func(h gossip.Handover) error
 	// Reclaim ends this endpoint's ownership of the keys of a restarted peer, and returns this endpoint's claims.
 	Reclaim func(l lease.ReclaimRequest) gossip.ReclaimReply
+	// Bodies is the memory for all request bodies in hand.
+	Bodies *budget.Budget
 	// Locate returns the location of a peer by which sent bytes are counted; it may be nil.
 	Locate Locate
 	// Panicked is told of a handler that has panicked, with the message's method; it may be nil.
@@ -99,13 +102,16 @@
 	}
 	defer s.untrack(conn)
 	server := rpc.NewServer()
+	granted := &grant{bodies: s.handlers.Bodies}
+	defer granted.release()
 	receiver := &Node{
-		ctx: ctx, handlers: s.handlers, cancels: map[string]context.CancelFunc{}, earlyCancels: recent.NewSet[string](maxEarlyCancels),
+		ctx: ctx, handlers: s.handlers, grant: granted,
+		cancels: map[string]context.CancelFunc{}, earlyCancels: recent.NewSet[string](maxEarlyCancels),
 	}
 	if err := server.RegisterName(serviceName, receiver); err != nil {
 		return
 	}
-	server.ServeCodec(serverCodec{framedConn: newFramedConn(conn, s.handlers.Locate), lost: cancel})
+	server.ServeCodec(serverCodec{framedConn: newFramedConn(conn, s.handlers.Locate), grant: granted, lost: cancel})
 }
 
 // track registers a connection to be closed with the server. It returns false if the server is closed already.
@@ -137,6 +143,7 @@
 type Node struct {
 	ctx      context.Context
 	handlers Handlers
+	grant    *grant
 	mu       sync.Mutex
 	cancels  map[string]context.CancelFunc
 	// earlyCancels holds the identifiers of canceled requests that were not known.
@@ -162,16 +169,24 @@
 // Exec runs a request. Its context ends at the deadline, when the peer cancels the request, or when the connection is lost. A
 // request whose handler panics may have run.
 func (n *Node) Exec(args RequestWire, reply *AnswerWire) error {
-	now := time.Now()
-	ctx, cancel := context.WithDeadline(n.ctx, now.Add(args.Remaining))
+	hold := n.handlers.Bodies.Hold()
+	defer hold.Release()
+	if hold.Take(int64(len(args.Body))) != nil {
+		*reply = toAnswerWire(call.Refusal(verd.NotRun(verd.ReasonBodiesFull)).WithUnspentRetries(args.Allowance))
+		return nil
+	}
+	n.exec(args.request(call.NewBody(args.Body).WithRetain(hold.Retain), time.Now()), reply)
+	return nil
+}
+
+func (n *Node) exec(r call.Request, reply *AnswerWire) {
+	ctx, cancel := context.WithDeadline(n.ctx, r.Deadline())
 	defer cancel()
-	n.register(args.ID, cancel)
-	defer n.forget(args.ID)
-	err := n.guarded("Exec", func() { *reply = toAnswerWire(n.handlers.Exec(ctx, args.request(now))) })
-	if err != nil {
+	n.register(r.ID(), cancel)
+	defer n.forget(r.ID())
+	if n.guarded("Exec", func() { *reply = toAnswerWire(n.handlers.Exec(ctx, r)) }) != nil {
 		*reply = toAnswerWire(call.Refusal(verd.MayHaveRun(verd.ReasonAnswerLost)))
 	}
-	return nil
 }
 
 // register lets Cancel end a request, or ends it if Cancel came first: net/rpc handles each message in a goroutine of its own.
--- a/lib/relay/wire.go
+++ b/lib/relay/wire.go
@@ -35,6 +35,21 @@
 	Again         float64
 }
 
+// LongWire is the wire format of a request with a long body, which follows the message in Length bytes. Length is at most what
+// the peer has granted with a Grant before.
+type LongWire struct {
+	Request  RequestWire
+	Length   int64
+	segments [][]byte
+	sent     bool      // all of it was written
+	received time.Time // when it began to arrive
+}
+
+// GrantWire is the wire format of the reply to a request for memory for a long body.
+type GrantWire struct {
+	Granted bool
+}
+
 // PressureWire is the wire format of a back-pressure signal.
 type PressureWire struct {
 	Service string
--- a/lib/verd/verd.go
+++ b/lib/verd/verd.go
@@ -25,6 +25,7 @@
 	ReasonBadRequest      Reason = "badRequest"
 	ReasonBodyTooLarge    Reason = "bodyTooLarge"
 	ReasonBodyTruncated   Reason = "bodyTruncated"
+	ReasonBodiesFull      Reason = "bodiesFull"
 	ReasonKeyMissing      Reason = "keyMissing"
 	ReasonKeyUnreadable   Reason = "keyUnreadable"
 	ReasonKeyReused       Reason = "keyReused"
@@ -100,7 +101,7 @@
 // run: it then passed, or could not be met, before the request started.
 func (v Verdict) IsOverload() bool {
 	switch v.reason {
-	case ReasonQueueFull, ReasonShedEarly, ReasonBackendShed:
+	case ReasonQueueFull, ReasonShedEarly, ReasonBackendShed, ReasonBodiesFull:
 		return true
 	case ReasonDeadline:
 		return v.kind == KindNotRun
--- a/tamarackd/wiring/memory.go
+++ b/tamarackd/wiring/memory.go
@@ -1,8 +1,11 @@
 package wiring
 
 import (
+	"expvar"
 	"os"
 	"runtime/debug"
+
+	"tamarackrudder.org/lib/budget"
 )
 
 const (
@@ -10,9 +13,13 @@
 	// with the runtime's default of 100, which collects at twice the live heap, more than one call in a hundred coincides
 	// with a collection.
 	gcPercent = 800
-	// memoryLimit is the runtime's soft memory limit in bytes; it keeps the process well below the 256 MB that a node may
-	// use.
-	memoryLimit = 200 << 20
+	// defaultMemory is the number of bytes that a process may use if no setting says otherwise.
+	defaultMemory = 256 << 20
+	// The runtime's soft limit is three quarters of the memory of the process, which leaves room for stacks and sockets.
+	softLimitNumerator, softLimitDenominator = 3, 4
+	// Request bodies may take two fifths of the memory of the process, and long ones seven eighths of that.
+	bodiesNumerator, bodiesDenominator = 2, 5
+	shortBodiesDenominator             = 8
 )
 
 // platformGCPercent replaces gcPercent on the users' platform, where a low peak of the heap is worth more than the
@@ -21,13 +28,24 @@
 
 // TuneMemory makes the runtime collect garbage less often at the cost of memory, up to a limit. Values set by GOGC and
 // GOMEMLIMIT stay in force.
-func TuneMemory() { tuneMemory(gcPercent) }
+func TuneMemory() { tuneMemory(gcPercent, defaultMemory) }
 
-func tuneMemory(percent int) {
+// tuneMemory sets the runtime's limits for a process that may use so many bytes.
+func tuneMemory(percent int, memory int64) {
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(percent)
 	}
 	if os.Getenv("GOMEMLIMIT") == "" {
-		debug.SetMemoryLimit(memoryLimit)
+		debug.SetMemoryLimit(memory / softLimitDenominator * softLimitNumerator)
 	}
 }
+
+// newBodyBudget returns the memory for request bodies of a process that may use so many bytes, and publishes how much of it is
+// taken.
+func newBodyBudget(memory int64) *budget.Budget {
+	size := memory / bodiesDenominator * bodiesNumerator
+	bodies := budget.New(size, size/shortBodiesDenominator)
+	expvar.Publish("requestBodyBytes", expvar.Func(func() any { return bodies.Taken() }))
+	expvar.Publish("requestBodyBytesLimit", expvar.Func(func() any { return size }))
+	return bodies
+}
--- a/tamarackd/wiring/platform.go
+++ b/tamarackd/wiring/platform.go
@@ -67,17 +67,24 @@
 	if err := s.check(); err != nil {
 		return err
 	}
-	tuneMemory(platformGCPercent)
+	memory := platformSettings.Memory()
+	if memory == 0 {
+		memory = defaultMemory
+	}
+	tuneMemory(platformGCPercent, memory)
+	bodies := newBodyBudget(memory)
 	logger := newLogger(s, os.Stdout)
 	n := newPlatformNode(ctx, platformSettings, s, logger)
-	seams := front.Seams{Serve: n.Serve, NewID: uuid.NewString, MaxBody: n.MaxBody, Leaving: n.Stopping}
+	seams := front.Seams{
+		Serve: n.Serve, Refuse: n.Refuse, NewID: uuid.NewString, Bodies: bodies, MaxBody: n.MaxBody, Leaving: n.Stopping,
+	}
 	callers := platform.NewFront(seams, s.service)
 	ready, err := readyActor(ctx, platformSettings.ReadyAddr(), func() bool { return n.Ready() && !n.Stopping() })
 	if err != nil {
 		return err
 	}
 	reload := received.reloadActor(func() { logSettingsChange(platformSettings, logger) })
-	return serveAll(ctx, received, s, n, callers, logger, reload, ready)
+	return serveAll(ctx, received, s, n, callers, bodies, logger, reload, ready)
 }
 
 func newPlatformNode(ctx context.Context, platformSettings platform.Settings, s settings, logger log.Logger) *node.Node {
--- a/tamarackd/wiring/wiring.go
+++ b/tamarackd/wiring/wiring.go
@@ -17,6 +17,7 @@
 	"github.com/oklog/run"
 
 	"tamarackrudder.org/lib/back"
+	"tamarackrudder.org/lib/budget"
 	"tamarackrudder.org/lib/clock"
 	"tamarackrudder.org/lib/front"
 	"tamarackrudder.org/lib/node"
@@ -86,17 +87,21 @@
 	TuneMemory()
 	logger := newLogger(s, os.Stderr)
 	n := newNode(s, logger)
-	callers := front.New(front.Seams{Serve: n.Serve, NewID: uuid.NewString, MaxBody: n.MaxBody, Leaving: n.Leaving})
+	bodies := newBodyBudget(defaultMemory)
+	callers := front.New(front.Seams{
+		Serve: n.Serve, Refuse: n.Refuse, NewID: uuid.NewString, Bodies: bodies, MaxBody: n.MaxBody, Leaving: n.Leaving,
+	})
 	reload := received.reloadActor(func() {
 		_ = level.Info(logger).Log("msg", "signal ignored, settings of the command line change at the next start")
 	})
-	return serveAll(ctx, received, s, n, callers, logger, reload)
+	return serveAll(ctx, received, s, n, callers, bodies, logger, reload)
 }
 
 // serveAll runs a node's listeners and the given actors in one group. The first of them that fails, or a signal, ends all.
 // It returns nil after a signal.
 func serveAll(
-	ctx context.Context, received *signals, s settings, n *node.Node, callers http.Handler, logger log.Logger, actors ...actor,
+	ctx context.Context, received *signals, s settings, n *node.Node, callers http.Handler, bodies *budget.Budget, logger log.Logger,
+	actors ...actor,
 ) error {
 	defer n.Close()
 	listeners, err := listenAll(ctx, s)
@@ -108,7 +113,7 @@
 	ops := newServer(opsapi.NewHandler(n))
 	peers := relay.NewServer(listeners.rpc, relay.Handlers{
 		Exec: n.Exec, Heartbeat: n.HandleHeartbeat, Fetch: n.Fetch, FetchHosts: n.FetchHosts,
-		Handover: n.HandleHandover, Reclaim: n.HandleReclaim, Locate: n.Locate, Panicked: n.HandlePanic,
+		Handover: n.HandleHandover, Reclaim: n.HandleReclaim, Bodies: bodies, Locate: n.Locate, Panicked: n.HandlePanic,
 	})
 	var group run.Group
 	group.Add(func() error { return serve(server, listeners.http) }, func(error) {
