front, conns: the request target reaches the endpoint as the caller sent it

Also changed: raw characters (| { " \ ^, bytes above 0x7f) were escaped, the question mark of an empty query was dropped, "#" became "%23". Unusual methods (MKCOL) got 405, "*" 404, and "OPTIONS *" a 200 of the node's own.

Cause: the path was taken from net/http's decoded URL, which encodes anew; towards the backend server it was the opaque part of a URL, before which net/http puts the scheme if it begins with two slashes; echo's router answered what it does not know. Ruled out: the messages between nodes (strings of any bytes), the matching of routes.

Change: the target is read from the request line, kept, matched and written as it is (an absolute one in origin form, RFC 9112, 3.2); the scheme that net/http adds is left out while the line is written. What is no path gets 400. Every method and target reaches the node's handler. RequestWire has one field more, which older builds ignore.

--- a/lib/back/back.go
+++ b/lib/back/back.go
@@ -102,10 +102,10 @@
 	return call.NewAnswer(reply.Status(), fields, reply.Body()).WithLoad(load), false
 }
 
-// newRequest returns the HTTP request for the backend server. Opaque keeps the path exactly as the caller escaped it.
+// newRequest returns the HTTP request for the backend server. Opaque keeps the target exactly as the caller sent it.
 func (c *Client) newRequest(r call.Request) *http.Request {
 	request := &http.Request{
-		Method: r.Method(), URL: &url.URL{Scheme: "http", Host: c.addr, Opaque: r.Path(), RawQuery: r.Query()},
+		Method: r.Method(), URL: &url.URL{Scheme: "http", Host: c.addr, Opaque: r.Target()},
 		Host: r.Host(), Header: make(http.Header, len(r.Fields())+spareHeaderFields),
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		ContentLength: int64(r.Body().Len()),
--- a/lib/call/request.go
+++ b/lib/call/request.go
@@ -13,6 +13,7 @@
 	method           string
 	path             string
 	query            string
+	emptyQuery       bool
 	fields           []Field
 	body             Body
 	key              string
@@ -40,6 +41,9 @@
 	return Request{id: id, method: method, path: path, query: query}
 }
 
+// WithEmptyQuery returns the request with whether its target ends with the question mark of an empty query.
+func (r Request) WithEmptyQuery(empty bool) Request { r.emptyQuery = empty; return r }
+
 // WithFields returns the request with the header fields that are passed on to the backend server.
 func (r Request) WithFields(fields []Field) Request { r.fields = fields; return r }
 
@@ -112,12 +116,23 @@
 // Method returns the HTTP method.
 func (r Request) Method() string { return r.method }
 
-// Path returns the path as the caller escaped it.
+// Path returns the path as the caller sent it.
 func (r Request) Path() string { return r.path }
 
 // Query returns the raw query, empty for none.
 func (r Request) Query() string { return r.query }
 
+// EmptyQuery reports whether the target ends with the question mark of an empty query.
+func (r Request) EmptyQuery() bool { return r.emptyQuery }
+
+// Target returns the request target in origin form, path and query, as the caller sent it.
+func (r Request) Target() string {
+	if r.query == "" && !r.emptyQuery {
+		return r.path
+	}
+	return r.path + "?" + r.query
+}
+
 // Fields returns the header fields that are passed on to the backend server; the slice must not be modified.
 func (r Request) Fields() []Field { return r.fields }
 
@@ -195,6 +210,9 @@
 		_, _ = d.WriteString(part)
 		_, _ = d.Write([]byte{0})
 	}
+	if r.emptyQuery {
+		_, _ = d.WriteString("?")
+	}
 	for _, segment := range r.body.Segments() {
 		_, _ = d.Write(segment)
 	}
--- a/lib/conns/exchange.go
+++ b/lib/conns/exchange.go
@@ -113,7 +113,7 @@
 	written := make(chan error, 1)
 	w := &counter{w: c.Conn}
 	c.out.Reset(w)
-	write := func() error { return errors.Join(r.Write(c.out), c.out.Flush()) }
+	write := func() error { return errors.Join(writeRequest(c.out, r), c.out.Flush()) }
 	if r.ContentLength > maxInlineBody {
 		go func() { written <- write() }()
 		return written, nil
--- a/lib/front/front.go
+++ b/lib/front/front.go
@@ -58,10 +58,15 @@
 
 // New returns the handler for requests of callers, on any method and path.
 func New(seams Seams) http.Handler {
+	return NewHandler(controller{seams: seams}.handle)
+}
+
+// NewHandler returns the handler that passes every request to handle, with any method and target.
+func NewHandler(handle echo.HandlerFunc) http.Handler {
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
-	c := controller{seams: seams}
-	e.Any("/*", c.handle)
+	// Before the router, which answers unknown methods and targets that are no path itself.
+	e.Pre(func(echo.HandlerFunc) echo.HandlerFunc { return handle })
 	return e
 }
 
@@ -81,10 +86,10 @@
 // then has only the parts that were read before.
 func (c controller) readHead(h *http.Request) (call.Request, verd.Reason) {
 	key := h.Header.Get(HeaderKey)
-	r := call.NewRequest(c.seams.NewID(), h.Method, h.URL.EscapedPath(), h.URL.RawQuery).
-		WithKey(key).WithFresh(h.Header.Get(HeaderFresh) == "true")
+	r, ok := NewRequest(c.seams.NewID(), h)
+	r = r.WithKey(key).WithFresh(h.Header.Get(HeaderFresh) == "true")
 	timeout, err := readTimeout(h.Header.Get(HeaderTimeout))
-	if err != nil || len(h.Header.Get(HeaderTenant)) > maxTenantBytes {
+	if !ok || err != nil || len(h.Header.Get(HeaderTenant)) > maxTenantBytes {
 		return r, verd.ReasonBadRequest
 	}
 	if len(key) > maxKeyBytes {
--- a/lib/relay/convert.go
+++ b/lib/relay/convert.go
@@ -32,7 +32,7 @@
 // toRequestWire converts a request without its body.
 func toRequestWire(r call.Request, remaining time.Duration) RequestWire {
 	return RequestWire{
-		ID: r.ID(), Method: r.Method(), Path: r.Path(), Query: r.Query(),
+		ID: r.ID(), Method: r.Method(), Path: r.Path(), Query: r.Query(), EmptyQuery: r.EmptyQuery(),
 		Fields: toFieldWires(r.Fields()), Key: r.Key(), Tenant: r.Tenant(),
 		Service: r.Service(), Class: r.Class(), Priority: r.Priority(), NonIdempotent: r.NonIdempotent(),
 		Remaining: remaining, Allowance: r.Allowance(), Suspect: r.CrashSuspect(), Again: r.RetryFraction(),
@@ -41,7 +41,7 @@
 }
 
 func (w RequestWire) request(body call.Body, now time.Time) call.Request {
-	return call.NewRequest(w.ID, w.Method, w.Path, w.Query).
+	return call.NewRequest(w.ID, w.Method, w.Path, w.Query).WithEmptyQuery(w.EmptyQuery).
 		WithFields(fromFieldWires(w.Fields)).WithBody(body).WithKey(w.Key).WithTenant(w.Tenant).
 		WithRoute(w.Service, w.NonIdempotent).WithClass(w.Class, w.Priority).
 		WithDeadline(now.Add(w.Remaining)).WithAllowance(w.Allowance).WithCrashSuspect(w.Suspect).WithRetryFraction(w.Again).
--- a/lib/relay/wire.go
+++ b/lib/relay/wire.go
@@ -17,6 +17,7 @@
 	Method        string
 	Path          string
 	Query         string
+	EmptyQuery    bool
 	Fields        []FieldWire
 	Body          []byte
 	Key           string
--- a/tamarackd/wiring/wiring.go
+++ b/tamarackd/wiring/wiring.go
@@ -159,7 +159,10 @@
 }
 
 func newServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
+		DisableGeneralOptionsHandler: true, // the handler refuses "OPTIONS *", as every target that is no path
+	}
 }
 
 func serve(server *http.Server, listener net.Listener) error {
