crash: marks of ordinary requests never keep out those of repeated crashes

Cause: every request in flight at a crash is marked, and the table took no more marks once it held 256, for ten minutes.

Change: 2,048 marks (maxMarks); a new one is always taken; when full, marks of single crashes make room, those that have succeeded first, then the oldest. A heartbeat carries at most 256, those of repeated crashes first, and marks of single crashes for ten seconds only. The status of a request looks at its own mark alone; it copied all marks before.

--- a/lib/crash/crash.go
+++ b/lib/crash/crash.go
@@ -14,7 +14,12 @@
 	crashesToBlock = 2
 	// crashTTL is how long a crash counts against a fingerprint.
 	crashTTL = 10 * time.Minute
-	maxMarks = 256
+	// maxMarks bounds the marks that a table holds.
+	maxMarks = 2048
+	// maxSentMarks bounds the marks that are sent in one heartbeat.
+	maxSentMarks = 256
+	// suspectSpreadTime is how long the mark of a single crash is sent to peers.
+	suspectSpreadTime = 10 * time.Second
 	// maxSucceeded is the number of fingerprints in each of the two generations of the set of successes.
 	maxSucceeded = 50_000
 	// sameCrashWindow is the time within which broken connections of one endpoint count as one crash, since a crash breaks
@@ -94,8 +99,8 @@
 	t.merge(NewMark(fingerprint, []Crash{NewCrash(t.self, t.now())}))
 }
 
-// Merge adds the crashes in the marks of a peer, except those that are recorded already or have expired. Marks of further
-// fingerprints are dropped while the table is full. It reports whether any crash was added.
+// Merge adds the crashes in the marks of a peer, except those that are recorded already or have expired. It reports whether any
+// crash was added.
 func (t *Table) Merge(marks []Mark) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -107,14 +112,8 @@
 }
 
 func (t *Table) merge(m Mark) bool {
-	mark, ok := t.marks[m.fingerprint]
-	if !ok && len(t.marks) >= maxMarks {
-		t.prune()
-		if len(t.marks) >= maxMarks {
-			return false
-		}
-	}
 	added := false
+	mark := t.marks[m.fingerprint]
 	mark.fingerprint = m.fingerprint
 	for _, c := range m.crashes {
 		recorded := slices.ContainsFunc(mark.crashes, c.equal)
@@ -123,10 +122,14 @@
 			added = true
 		}
 	}
-	if len(mark.crashes) > 0 {
-		t.marks[m.fingerprint] = mark
+	if !added {
+		return false
 	}
-	return added
+	t.marks[m.fingerprint] = mark
+	if len(t.marks) > maxMarks {
+		t.evict()
+	}
+	return true
 }
 
 func (t *Table) isExpired(c Crash) bool { return t.now().Round(0).Sub(c.at) >= crashTTL }
@@ -138,6 +141,9 @@
 // prune removes expired crashes, and marks without any.
 func (t *Table) prune() {
 	for f, m := range t.marks {
+		if !slices.ContainsFunc(m.crashes, t.isExpired) {
+			continue
+		}
 		m.crashes = slices.DeleteFunc(slices.Clone(m.crashes), t.isExpired)
 		t.marks[f] = m
 		if len(m.crashes) == 0 {
@@ -165,27 +171,20 @@
 func (t *Table) Status(fingerprint uint64) Status {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.prune()
 	if t.succeeded.Has(fingerprint) {
 		return Clear
 	}
-	switch n := len(t.marks[fingerprint].crashes); {
-	case n >= crashesToBlock:
+	counting := 0
+	for _, c := range t.marks[fingerprint].crashes {
+		if !t.isExpired(c) {
+			counting++
+		}
+	}
+	switch {
+	case counting >= crashesToBlock:
 		return Blocked
-	case n > 0:
+	case counting > 0:
 		return Suspect
 	}
 	return Clear
 }
-
-// Marks returns all marks with crashes that still count, to be sent to peers.
-func (t *Table) Marks() []Mark {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.prune()
-	marks := make([]Mark, 0, len(t.marks))
-	for _, m := range t.marks {
-		marks = append(marks, m)
-	}
-	return marks
-}
--- a/lib/crash/crash_test.go
+++ b/lib/crash/crash_test.go
@@ -34,3 +34,67 @@
 	is.Equal(a.Status(crashing), crash.Clear)
 	is.Equal(len(a.Marks()), 0)
 }
+
+// TestPopularRequestIsNotBlockedAfterARestart guards against the refusal of a request that was at work during crashes at endpoints where it
+// succeeds, by an endpoint that has not run it yet.
+func TestPopularRequestIsNotBlockedAfterARestart(t *testing.T) {
+	is := is.New(t)
+	c := clock.NewManual(time.Unix(1_800_000_000, 0))
+	a, b := crash.NewTable(c, "a"), crash.NewTable(c, "b")
+	for _, table := range []*crash.Table{a, b} {
+		table.RecordSuccess(unrelated)
+		table.RecordCrash(unrelated)
+		table.RecordCrash(crashing)
+	}
+	a.Merge(b.Marks())
+	restarted := crash.NewTable(c, "c")
+	restarted.Merge(a.Marks())
+	is.Equal(restarted.Status(unrelated), crash.Clear)
+	is.Equal(restarted.Status(crashing), crash.Blocked)
+}
+
+// TestOrdinaryRequestsNeverKeepOutSuspects guards against a table that fills with the requests in flight at each crash, so that one
+// that causes crashes is not recognised: two endpoints crash at turns beside many ordinary requests.
+func TestOrdinaryRequestsNeverKeepOutSuspects(t *testing.T) {
+	const (
+		inFlight = 500 // ordinary requests at each crash
+		maxMarks = 2048
+		maxSent  = 256
+		pause    = 2 * time.Second // between crashes; far more than heartbeats need
+	)
+	is := is.New(t)
+	c := clock.NewManual(time.Unix(1_800_000_000, 0))
+	tables := []*crash.Table{crash.NewTable(c, "a"), crash.NewTable(c, "b")}
+	exchange := func() {
+		for range 20 { // heartbeats between two crashes
+			for i, to := range tables {
+				marks := tables[1-i].Marks()
+				is.True(len(marks) <= maxSent)
+				to.Merge(marks)
+			}
+		}
+	}
+	ordinary := uint64(1000)
+	for suspect := range uint64(20) {
+		for crashes := range 3 {
+			at := tables[crashes%2]
+			is.True(crashes < 2 || at.Status(suspect) == crash.Blocked) // it does not run a third time
+			if crashes == 2 {
+				break
+			}
+			for range inFlight {
+				ordinary++
+				at.RecordCrash(ordinary)
+			}
+			at.RecordCrash(suspect)
+			exchange()
+			c.Advance(pause)
+		}
+	}
+	for _, table := range tables {
+		is.True(table.Len() <= maxMarks)
+		for suspect := range uint64(20) {
+			is.Equal(table.Status(suspect), crash.Blocked) // all are still known
+		}
+	}
+}
--- a/lib/node/status.go
+++ b/lib/node/status.go
@@ -5,7 +5,6 @@
 	"strings"
 	"time"
 
-	"tamarackrudder.org/lib/crash"
 	"tamarackrudder.org/lib/hosts"
 	"tamarackrudder.org/lib/lease"
 	"tamarackrudder.org/lib/press"
@@ -97,8 +96,8 @@
 // Ejected returns the addresses of the endpoints that this node has ejected for failures.
 func (n *Node) Ejected() []string { return n.picker.Ejected() }
 
-// Marks returns the crash marks: the fingerprints that were in flight when a backend server crashed.
-func (n *Node) Marks() []crash.Mark { return n.crashes.Marks() }
+// Marks returns the number of crash marks: the fingerprints that were in flight when a backend server crashed.
+func (n *Node) Marks() int { return n.crashes.Len() }
 
 // Summaries returns verdicts and latencies by tenant and class.
 func (n *Node) Summaries() []stats.Summary { return n.stats.Summaries() }
--- a/lib/opsapi/report.go
+++ b/lib/opsapi/report.go
@@ -94,7 +94,7 @@
 	s := Status{
 		Node: n.Self(), Service: n.Service(), Zone: n.Zone(), Ready: n.Ready(), Leaving: n.Leaving(),
 		RulesFault: n.RulesFault(), ListFault: n.HostsFault(), Keys: n.Claims(), Limit: n.Limit(),
-		Running: n.Running(), InFlight: n.InFlight(), Ejected: n.Ejected(), CrashSuspects: len(n.Marks()),
+		Running: n.Running(), InFlight: n.InFlight(), Ejected: n.Ejected(), CrashSuspects: n.Marks(),
 	}
 	if set := n.Rules(); set != nil {
 		s.RulesVersion = set.Version()
