roster: a change between two pages of a listing is not hidden by a later one

The list took the version of its newest entry, so the first change, which comes by the watch, did not raise it, and the list with that change was not put in force (until any further change).

Change: Replace advances to its own position only, that of the first page, and Put advances with each change that the watch reports, also with one whose entry is known already. Listings of one page, whose entries are not newer than the page, get the same versions as before.

TestChangeBetweenPagesIsNotHidden: red before.

--- a/lib/roster/roster.go
+++ b/lib/roster/roster.go
@@ -83,6 +83,7 @@
 	defer t.mu.Unlock()
 	if p.epoch == t.position.epoch {
 		t.put(name, e, p)
+		t.advance(p)
 		t.countDifference()
 	}
 }
@@ -93,7 +94,6 @@
 		return
 	}
 	t.entries[name] = &entry{endpoint: e, position: p}
-	t.advance(p)
 }
 
 // advance records the platform's newest position, at which the count of local changes begins again.
@@ -156,8 +156,9 @@
 
 // Replace records all entries as read at a position. Recorded entries that are missing from them count as removed; while one
 // of these may only have expired, the list does not win over those of peers that know when it was removed. What was read in
-// an older epoch than the recorded one is ignored. Replace returns the names of the entries whose endpoints stay
-// leaving or gone because the platform has brought back outdated ones.
+// an older epoch than the recorded one is ignored. Entries may have changed after the position, while others were read; the list
+// then stays at the position until these changes are put, since others from before them may be missing. Replace returns the
+// names of the entries whose endpoints stay leaving or gone because the platform has brought back outdated ones.
 func (t *Table) Replace(all []NamedEntry, p Position) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -176,8 +177,11 @@
 		present[n.name] = true
 		if restored {
 			t.putRestored(n)
-		} else {
-			t.put(n.name, n.endpoint, n.position)
+			continue
+		}
+		t.put(n.name, n.endpoint, n.position)
+		if !n.position.After(p) {
+			t.advance(n.position)
 		}
 	}
 	isRemoved := func(name string) bool { return !present[name] && !t.entries[name].position.After(p) }
--- a/lib/roster/roster_test.go
+++ b/lib/roster/roster_test.go
@@ -50,6 +50,28 @@
 	is.Equal(listed(t, table), map[string]string{"10.0.0.1": "shop"})
 }
 
+// TestChangeBetweenPagesIsNotHidden guards against a change of an entry on an earlier page that never comes into force, because an
+// entry on a later page had changed after it: the list must get a new version with each change that is put.
+func TestChangeBetweenPagesIsNotHidden(t *testing.T) {
+	is := is.New(t)
+	table := roster.NewTable(clock.NewManual(start))
+	first, second := endpoint("desk", "10.0.0.1", start), endpoint("desk", "10.0.0.2", start)
+	table.Replace([]roster.NamedEntry{roster.NewNamedEntry("a", first, at(3)), roster.NewNamedEntry("b", second.WithLeaving(), at(9))}, at(5))
+	version := func() uint64 {
+		list, _, err := table.List()
+		is.NoErr(err)
+		return list.Version()
+	}
+	read := version()
+	table.Put("a", first.WithLeaving(), at(7))
+	changed := version()
+	is.True(changed > read)
+	table.Put("b", second.WithLeaving(), at(9)) // the watch reports what was read already
+	is.True(version() > changed)
+	table.Remove("a", at(11))
+	is.Equal(listed(t, table), map[string]string{"10.0.0.2": "desk"})
+}
+
 func TestOlderEntryChangesNothing(t *testing.T) {
 	is := is.New(t)
 	table := roster.NewTable(clock.NewManual(start))
