node: a backend server that is another instance than listed gets no more requests

Change: the node beside it refuses requests for that instance for a second after a 421 without sending them; entry nodes take the reason as they take that of a leaving endpoint. With a list that names the new instance it serves at once.

--- a/lib/node/attempt.go
+++ b/lib/node/attempt.go
@@ -138,7 +138,7 @@
 	e.ledger.Refund(reserved, unspent)
 	n.picker.RecordAnswer(addr, n.clock.Now().Sub(start), a.InFlight(), outcomeOf(v))
 	switch v.Reason() {
-	case verd.ReasonLeaving:
+	case verd.ReasonLeaving, verd.ReasonBackendReplaced:
 		n.picker.MarkLeaving(addr)
 	case verd.ReasonSilent, verd.ReasonPeerUnreachable:
 		n.picker.MarkSilent(addr)
--- a/lib/node/exec.go
+++ b/lib/node/exec.go
@@ -70,6 +70,8 @@
 		return refuse(r, verd.ReasonNotOwner)
 	case n.settings.untraced && !n.isListed():
 		return refuse(r, verd.ReasonLeaving)
+	case n.isReplaced():
+		return refuse(r, verd.ReasonBackendReplaced)
 	}
 	if r.Deduped() {
 		return n.execDeduped(ctx, r, service)
@@ -243,6 +245,8 @@
 	switch {
 	case n.leaving.Load() && n.flushed.Load():
 		return refuse(r, verd.ReasonLeaving) // it had waited elsewhere than in the queue
+	case n.isReplaced():
+		return refuse(r, verd.ReasonBackendReplaced)
 	case n.settings.untraced && r.Deadline().Sub(n.clock.Now()) < minRunTime:
 		return refuse(r, verd.ReasonDeadline)
 	}
@@ -251,12 +255,16 @@
 	defer n.fanout.Ended(n.fanout.Started(route))
 	n.retryFraction.Record(r.RetryFraction())
 	start, inFlight := n.clock.Now(), n.queue.Running()
-	a, broken := n.seams.Run(ctx, n.prepareForBackend(r), open.Token(), service.ShedStatus())
+	sent := n.prepareForBackend(r)
+	a, broken := n.seams.Run(ctx, sent, open.Token(), service.ShedStatus())
 	total := n.clock.Now().Sub(start)
 	n.recordRun(backendRun{request: r, route: route, start: start, total: total, selfTime: total - open.Waited(), inFlight: inFlight}, a)
 	if broken {
 		a = n.classifyBrokenConn(ctx, r, a, route, total)
 	}
+	if a.Verdict().Reason() == verd.ReasonBackendReplaced {
+		n.recordReplaced(sent.Instance())
+	}
 	if ctx.Err() != nil && service.CancelPath() != "" {
 		go n.seams.Cancel(service.CancelPath(), open.Token())
 	}
--- a/lib/node/node.go
+++ b/lib/node/node.go
@@ -59,6 +59,7 @@
 	listedLeaving atomic.Bool
 	flushed       atomic.Bool                    // while leaving: nothing more goes to the backend server
 	lastListed    atomic.Pointer[hosts.Endpoint] // this endpoint as it was last listed, nil before
+	replaced      atomic.Pointer[replacedInstance]
 
 	refusesCallers atomic.Bool
 	refusesAll     atomic.Bool
