roster: an entry of an unknown service hides no endpoint at its address

A change of the configuration that changes the list makes a new version.

TestEntryOfUnknownServiceHidesNoEndpoint: red before (the other entry was listed).

--- a/lib/roster/roster.go
+++ b/lib/roster/roster.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -48,6 +50,7 @@
 	mu               sync.Mutex
 	entries          map[string]*entry
 	tombstones       map[string]tombstone
+	services         map[string]bool // that the configuration names, nil while it is not known
 	position         Position
 	certain          bool // when the position was reached
 	localChanges     uint64
@@ -207,25 +210,51 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	next := t.endStates()
-	newest := map[string]hosts.Endpoint{}
+	endpoints := slices.Collect(maps.Values(t.inForce()))
+	list, err := hosts.NewList(t.version(), endpoints)
+	if err != nil {
+		return nil, next, fmt.Errorf("roster: %w", err)
+	}
+	return list, next, nil
+}
+
+// inForce returns the endpoint that counts at each address.
+func (t *Table) inForce() map[string]hosts.Endpoint {
+	chosen := map[string]hosts.Endpoint{}
 	for _, e := range t.entries {
 		if e.state == heldGone {
 			continue
 		}
 		addr := e.endpoint.RPCAddr()
-		if other, taken := newest[addr]; !taken || other.Started().Before(e.endpoint.Started()) {
-			newest[addr] = e.endpoint
+		if other, taken := chosen[addr]; !taken || t.outranks(e.endpoint, other) {
+			chosen[addr] = e.endpoint
 		}
 	}
-	endpoints := make([]hosts.Endpoint, 0, len(newest))
-	for _, e := range newest {
-		endpoints = append(endpoints, e)
+	return chosen
+}
+
+// outranks reports whether an endpoint counts in place of another one at the same address: it started later, unless only the
+// other one is of a service that the configuration names. Others write entries too.
+func (t *Table) outranks(e, other hosts.Endpoint) bool {
+	if t.services[e.Service()] != t.services[other.Service()] {
+		return t.services[e.Service()]
 	}
-	list, err := hosts.NewList(t.version(), endpoints)
-	if err != nil {
-		return nil, next, fmt.Errorf("roster: %w", err)
+	return other.Started().Before(e.Started())
+}
+
+// SetServices records the services that the configuration names.
+func (t *Table) SetServices(names []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	before := t.inForce()
+	t.services = map[string]bool{}
+	for _, name := range names {
+		t.services[name] = true
+	}
+	sameInstance := func(a, b hosts.Endpoint) bool { return a.Instance() == b.Instance() }
+	if !maps.EqualFunc(before, t.inForce(), sameInstance) {
+		t.localChanges++
 	}
-	return list, next, nil
 }
 
 // endStates ends the states of entries whose time is over, and returns when the next one ends, zero for never. While the
--- a/lib/roster/roster_test.go
+++ b/lib/roster/roster_test.go
@@ -72,6 +72,23 @@
 	is.Equal(listed(t, table), map[string]string{"10.0.0.2": "desk"})
 }
 
+// TestEntryOfUnknownServiceHidesNoEndpoint guards against an entry of another writer that takes the place of a living endpoint.
+func TestEntryOfUnknownServiceHidesNoEndpoint(t *testing.T) {
+	is := is.New(t)
+	table := roster.NewTable(clock.NewManual(start))
+	table.Put("a", endpoint("desk", "10.0.0.1", start), at(7))
+	table.Put("b", endpoint("else", "10.0.0.1", start.Add(time.Minute)), at(8))
+	list, _, err := table.List()
+	is.NoErr(err)
+	table.SetServices([]string{"desk", "shop"})
+	is.Equal(listed(t, table), map[string]string{"10.0.0.1": "desk"})
+	known, _, err := table.List()
+	is.NoErr(err)
+	is.True(known.Version() > list.Version())                                     // it comes into force
+	table.Put("c", endpoint("shop", "10.0.0.1", start.Add(2*time.Minute)), at(9)) // the address is in use again
+	is.Equal(listed(t, table), map[string]string{"10.0.0.1": "shop"})
+}
+
 func TestOlderEntryChangesNothing(t *testing.T) {
 	is := is.New(t)
 	table := roster.NewTable(clock.NewManual(start))
