relay: a closing server writes the replies to requests that have ended

Change: the server counts the messages that it has read and not answered, and waits until none is left, at most 0.2 s, which is within the 0.5 s that a stop leaves before the end of the grace time.

TestClosingServerWritesItsReplies: red before (connectionLost).

--- a/lib/relay/codec.go
+++ b/lib/relay/codec.go
@@ -179,15 +179,18 @@
 	grant *grant
 	// lost is called once no further request can be read; net/rpc then still waits for the calls that run.
 	lost func()
+	// count is called with the number of replies that become due, and with a negative one when they are written.
+	count func(n int)
 }
 
 // ReadRequestHeader reads the next frame and decodes the header of the request in it.
 func (c serverCodec) ReadRequestHeader(r *rpc.Request) error {
-	err := c.readHeader(r)
-	if err != nil {
+	if err := c.readHeader(r); err != nil {
 		c.lost()
+		return err
 	}
-	return err
+	c.count(1)
+	return nil
 }
 
 // ReadRequestBody decodes the body of the request whose header was read last; a nil body discards it.
@@ -208,7 +211,10 @@
 }
 
 // WriteResponse sends the header and the body of a response in one frame.
-func (c serverCodec) WriteResponse(r *rpc.Response, body any) error { return c.write(r, body) }
+func (c serverCodec) WriteResponse(r *rpc.Response, body any) error {
+	defer c.count(-1)
+	return c.write(r, body)
+}
 
 // Close closes the connection, which ends all reads and writes on it.
 func (c serverCodec) Close() error { return c.conn.Close() }
--- a/lib/relay/robust_test.go
+++ b/lib/relay/robust_test.go
@@ -75,6 +75,42 @@
 	is.True(peers.Exec(t.Context(), l.Addr().String(), request("good", "body", time.Minute)).Verdict().HasRun())
 }
 
+// slowListener accepts connections whose writes take a while.
+type slowListener struct{ net.Listener }
+
+func (l slowListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return slowConn{conn}, err
+}
+
+type slowConn struct{ net.Conn }
+
+func (c slowConn) Write(b []byte) (int, error) {
+	time.Sleep(50 * time.Millisecond)
+	return c.Conn.Write(b)
+}
+
+// TestClosingServerWritesItsReplies guards against the loss of the answer to a request that has just ended, when the node stops.
+func TestClosingServerWritesItsReplies(t *testing.T) {
+	is := is.New(t)
+	l := listen(t)
+	ended := make(chan struct{})
+	s := relay.NewServer(slowListener{l}, relay.Handlers{Bodies: newBodies(), Exec: func(ctx context.Context, r call.Request) call.Answer {
+		defer close(ended)
+		return echo(ctx, r)
+	}})
+	go func() { _ = s.Serve() }()
+	answered := make(chan call.Answer, 1)
+	go func() {
+		answered <- relay.NewPeers(relay.DialTCP).Exec(context.Background(), l.Addr().String(), request("1", "body", time.Minute))
+	}()
+	<-ended
+	s.Close()
+	a := <-answered
+	is.True(a.Verdict().HasRun())
+	is.Equal(string(a.Body()), "body")
+}
+
 // TestCancelBeforeItsRequestEndsIt cancels many requests as soon as they are sent. None may run on at the peer.
 func TestCancelBeforeItsRequestEndsIt(t *testing.T) {
 	var runsOn atomic.Int64
--- a/lib/relay/server.go
+++ b/lib/relay/server.go
@@ -23,6 +23,8 @@
 const (
 	minAcceptPause = 5 * time.Millisecond
 	maxAcceptPause = time.Second
+	// lastReplyTime is how long a server that closes waits for replies that are not written yet.
+	lastReplyTime = 200 * time.Millisecond
 	// maxEarlyCancels is the number of cancellations in each of the two generations of those that are kept for requests that
 	// have not begun; most are of ended ones.
 	maxEarlyCancels = 500
@@ -66,6 +68,8 @@
 	mu       sync.Mutex
 	conns    map[net.Conn]struct{}
 	closed   bool
+	replies  int           // that are not written yet
+	written  chan struct{} // closed when none is left; nil while nobody waits for that
 }
 
 // NewServer returns a server that accepts connections on the listener once Serve is called.
@@ -111,7 +115,7 @@
 	if err := server.RegisterName(serviceName, receiver); err != nil {
 		return
 	}
-	server.ServeCodec(serverCodec{framedConn: newFramedConn(conn, s.handlers.Locate), grant: granted, lost: cancel})
+	server.ServeCodec(serverCodec{framedConn: newFramedConn(conn, s.handlers.Locate), grant: granted, lost: cancel, count: s.countReplies})
 }
 
 // track registers a connection to be closed with the server. It returns false if the server is closed already.
@@ -128,9 +132,38 @@
 	delete(s.conns, conn)
 }
 
-// Close closes the listener and all connections; the contexts of requests that run are canceled.
+// countReplies counts replies that are due, and those written with a negative number.
+func (s *Server) countReplies(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.replies += n
+	if s.replies == 0 && s.written != nil {
+		close(s.written)
+		s.written = nil
+	}
+}
+
+// awaitReplies waits until all replies are written, but no longer than lastReplyTime.
+func (s *Server) awaitReplies() {
+	s.mu.Lock()
+	written := make(chan struct{})
+	if s.replies == 0 {
+		close(written)
+	} else {
+		s.written = written
+	}
+	s.mu.Unlock()
+	select {
+	case <-written:
+	case <-time.After(lastReplyTime):
+	}
+}
+
+// Close closes the listener, and all connections once the replies to requests that have ended are written; the contexts of
+// requests that still run are canceled.
 func (s *Server) Close() {
 	_ = s.listener.Close()
+	s.awaitReplies()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closed = true
