front: the time that a body takes to arrive counts against the caller's timeout

Seen while the reading of bodies was changed: the deadline of a request was counted from the end of its body, so a caller that sent its body for two seconds of a timeout of five had its request run up to seven seconds after it had begun to wait.

Change: the time between the head and the end of the body is taken from the timeout that the caller names. The route's own timeout counts as before.

TestTimeOfTheBodyCounts: red before (the whole 2 s were left after 0.3 s).

--- a/lib/front/body.go
+++ b/lib/front/body.go
@@ -26,12 +26,21 @@
 	if reason != verd.ReasonNone {
 		return s.Refuse(r, verd.NotRun(reason))
 	}
+	begun := time.Now()
 	body, release, reason := s.readBody(ec, limit, r.Timeout())
 	if reason != verd.ReasonNone {
 		return s.Refuse(r, verd.NotRun(reason))
 	}
 	defer release()
-	return s.Serve(ec.Request().Context(), r.WithBody(body))
+	return s.Serve(ec.Request().Context(), withoutTime(r.WithBody(body), time.Since(begun)))
+}
+
+// withoutTime takes the time that the body took to arrive from the timeout of the caller, who has waited since.
+func withoutTime(r call.Request, took time.Duration) call.Request {
+	if r.Timeout() == 0 {
+		return r
+	}
+	return r.WithTimeout(max(time.Millisecond, r.Timeout()-took))
 }
 
 // readBody reads the complete body of a request of a caller that waits for the answer for the given timeout, zero if it is not
--- a/lib/front/body_test.go
+++ b/lib/front/body_test.go
@@ -151,3 +151,25 @@
 	release()
 	is.Equal(bodies.Taken(), int64(0))
 }
+
+// TestTimeOfTheBodyCounts guards against a deadline that is later than the caller's by the time that the body took to arrive.
+func TestTimeOfTheBodyCounts(t *testing.T) {
+	const (
+		timeout = 2 * time.Second
+		pause   = 300 * time.Millisecond
+	)
+	is := is.New(t)
+	left := make(chan time.Duration, 1)
+	s := httptest.NewServer(front.New(seams(func(ctx context.Context, r call.Request) call.Answer {
+		left <- r.Timeout()
+		return echo(ctx, r)
+	}, budget.New(room, spare))))
+	defer s.Close()
+	conn := send(t, s, front.HeaderTimeout+": 2000\r\nContent-Length: 8", "half")
+	time.Sleep(pause)
+	_, err := io.WriteString(conn, "half")
+	is.NoErr(err)
+	got := <-left
+	is.True(got <= timeout-pause)
+	is.True(got > 0)
+}
