conns, relay, wiring: one budget type, plainer names

conns had a budget of its own for the bodies of answers, with the same logic as lib/budget; it uses that now.

--- a/lib/conns/exchange.go
+++ b/lib/conns/exchange.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"tamarackrudder.org/lib/budget"
 )
 
 const (
@@ -162,11 +164,11 @@
 
 // readAnswer reads the body of an answer, and also returns how long the connection may then stay idle in the pool.
 func (c *conn) readAnswer(response *http.Response, maxBody int64) (Reply, time.Duration, error) {
-	source := &chargedReader{r: response.Body, budget: c.held, free: freeBytes}
-	defer source.giveBack()
-	body, err := io.ReadAll(io.LimitReader(source, maxBody+1))
+	hold := c.held.Hold()
+	defer hold.Release()
+	body, err := io.ReadAll(io.LimitReader(chargedReader{r: response.Body, hold: hold}, maxBody+1))
 	switch {
-	case errors.Is(err, errHeldLimit):
+	case errors.Is(err, budget.ErrExhausted):
 		return Reply{}, 0, fmt.Errorf("%w: %w", ErrTooLarge, err)
 	case err != nil:
 		return Reply{}, 0, fmt.Errorf("%w: %w", ErrLost, err)
--- a/lib/conns/pool.go
+++ b/lib/conns/pool.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"tamarackrudder.org/lib/budget"
 )
 
 const (
@@ -59,10 +61,10 @@
 	source  *limitedReader // what in reads from
 	in      *bufio.Reader
 	out     *bufio.Writer
-	held    *budget     // of the pool
-	refused []string    // the IDs of requests that were refused on it; a second copy of a refusal may still arrive
-	expires time.Time   // from here on it is not reused
-	expiry  *time.Timer // closes it then
+	held    *budget.Budget // of the pool
+	refused []string       // the IDs of requests that were refused on it; a second copy of a refusal may still arrive
+	expires time.Time      // from here on it is not reused
+	expiry  *time.Timer    // closes it then
 }
 
 // recordRefused records that a request was refused on the connection, and reports whether the connection may carry others.
@@ -79,7 +81,7 @@
 	addr     string
 	maxConns int
 	dial     Dial
-	held     *budget // for the bodies that are being read
+	held     *budget.Budget // for the bodies that are being read
 	mu       sync.Mutex
 	idle     []*conn // least recently used first
 	opened   int
@@ -87,7 +89,7 @@
 
 // NewPool returns a pool of at most maxConns connections to an IP address and port.
 func NewPool(addr string, maxConns int, dial Dial) *Pool {
-	return &Pool{addr: addr, maxConns: maxConns, dial: dial, held: newBudget(maxHeldBytes)}
+	return &Pool{addr: addr, maxConns: maxConns, dial: dial, held: budget.New(maxAnswerBytes, shortAnswerBytes)}
 }
 
 // acquire returns an idle connection that is usable for the request with the ID, or opens one.
@@ -152,7 +154,7 @@
 	return nil
 }
 
-func newConn(raw net.Conn, held *budget) *conn {
+func newConn(raw net.Conn, held *budget.Budget) *conn {
 	source := &limitedReader{r: raw}
 	return &conn{
 		Conn: raw, source: source, held: held,
--- a/lib/relay/long.go
+++ b/lib/relay/long.go
@@ -83,7 +83,7 @@
 	conn := &monitoredConn{Conn: raw}
 	client := rpc.NewClientWithCodec(clientCodec{newFramedConn(conn, p.locator())})
 	defer func() { _ = client.Close() }()
-	to := route{addr: addr, client: client, conn: conn}
+	to := channel{addr: addr, client: client, conn: conn}
 	granted, err := askGrant(ctx, client, r.Body().Len())
 	var refused rpc.ServerError
 	switch {
@@ -119,7 +119,7 @@
 }
 
 // execWhole sends a request with a long body to a peer of an older build, which knows no grants, within one message.
-func (p *Peers) execWhole(ctx context.Context, to route, r call.Request) call.Answer {
+func (p *Peers) execWhole(ctx context.Context, to channel, r call.Request) call.Answer {
 	if r.Body().Len() > maxWholeBody {
 		return call.Refusal(verd.NotRun(verd.ReasonBodyTooLarge))
 	}
@@ -129,12 +129,12 @@
 }
 
 // sendUntil sends a message, and ends the write with the context if it blocks so long.
-func (t route) sendUntil(ctx context.Context, method string, args any, reply *AnswerWire) *rpc.Call {
-	stop := context.AfterFunc(ctx, func() { _ = t.conn.SetWriteDeadline(time.Unix(1, 0)) })
-	pending := t.client.Go(serviceName+"."+method, args, reply, make(chan *rpc.Call, 1))
+func (c channel) sendUntil(ctx context.Context, method string, args any, reply *AnswerWire) *rpc.Call {
+	stop := context.AfterFunc(ctx, func() { _ = c.conn.SetWriteDeadline(time.Unix(1, 0)) })
+	pending := c.client.Go(serviceName+"."+method, args, reply, make(chan *rpc.Call, 1))
 	if stop() {
 		// The error is that of a closed connection, which ends the call as well.
-		_ = t.conn.SetWriteDeadline(time.Time{})
+		_ = c.conn.SetWriteDeadline(time.Time{})
 	}
 	return pending
 }
--- a/lib/relay/peers.go
+++ b/lib/relay/peers.go
@@ -140,13 +140,13 @@
 	}
 	args := toRequestWire(r, time.Until(r.Deadline()))
 	args.Body = r.Body().Bytes()
-	return p.exec(ctx, route{addr: addr, client: client, conn: conn, shared: true}, r, func(reply *AnswerWire) *rpc.Call {
+	return p.exec(ctx, channel{addr: addr, client: client, conn: conn, shared: true}, r, func(reply *AnswerWire) *rpc.Call {
 		return client.Go(serviceName+".Exec", args, reply, make(chan *rpc.Call, 1))
 	})
 }
 
-// route is the connection to a peer over which a request is sent. One that is shared by requests is checked for silence.
-type route struct {
+// channel is the connection to a peer over which a request is sent. One that is shared by requests is checked for silence.
+type channel struct {
 	addr   string
 	client *rpc.Client
 	conn   *monitoredConn
@@ -154,7 +154,7 @@
 }
 
 // exec sends a request to a peer and awaits the answer.
-func (p *Peers) exec(ctx context.Context, to route, r call.Request, send func(reply *AnswerWire) *rpc.Call) call.Answer {
+func (p *Peers) exec(ctx context.Context, to channel, r call.Request, send func(reply *AnswerWire) *rpc.Call) call.Answer {
 	to.conn.requestSent()
 	defer to.conn.requestEnded()
 	var reply AnswerWire
@@ -218,7 +218,7 @@
 // answerOf returns the answer of a finished call. After an error it distinguishes a request that cannot have reached the
 // peer from one whose answer did not arrive: net/rpc returns ErrShutdown only for a request that it did not write, and a
 // peer does not read a frame that was written in part.
-func (p *Peers) answerOf(to route, pending *rpc.Call, reply *AnswerWire) call.Answer {
+func (p *Peers) answerOf(to channel, pending *rpc.Call, reply *AnswerWire) call.Answer {
 	if pending.Error == nil {
 		return reply.answer()
 	}
--- a/tamarackd/wiring/platform.go
+++ b/tamarackd/wiring/platform.go
@@ -84,7 +84,7 @@
 		return err
 	}
 	reload := received.reloadActor(func() { logSettingsChange(platformSettings, logger) })
-	return serveAll(ctx, received, s, n, callers, bodies, logger, reload, ready)
+	return process{settings: s, node: n, callers: callers, bodies: bodies, logger: logger}.serveAll(ctx, received, reload, ready)
 }
 
 func newPlatformNode(ctx context.Context, platformSettings platform.Settings, s settings, logger log.Logger) *node.Node {
--- a/tamarackd/wiring/wiring.go
+++ b/tamarackd/wiring/wiring.go
@@ -94,26 +94,33 @@
 	reload := received.reloadActor(func() {
 		_ = level.Info(logger).Log("msg", "signal ignored, settings of the command line change at the next start")
 	})
-	return serveAll(ctx, received, s, n, callers, bodies, logger, reload)
+	return process{settings: s, node: n, callers: callers, bodies: bodies, logger: logger}.serveAll(ctx, received, reload)
+}
+
+// process is a node with what its listeners need.
+type process struct {
+	settings settings
+	node     *node.Node
+	callers  http.Handler
+	bodies   *budget.Budget
+	logger   log.Logger
 }
 
 // serveAll runs a node's listeners and the given actors in one group. The first of them that fails, or a signal, ends all.
 // It returns nil after a signal.
-func serveAll(
-	ctx context.Context, received *signals, s settings, n *node.Node, callers http.Handler, bodies *budget.Budget, logger log.Logger,
-	actors ...actor,
-) error {
+func (p process) serveAll(ctx context.Context, received *signals, actors ...actor) error {
+	s, n, logger := p.settings, p.node, p.logger
 	defer n.Close()
 	listeners, err := listenAll(ctx, s)
 	if err != nil {
 		return err
 	}
 	opsapi.Publish(n)
-	server := newServer(callers)
+	server := newServer(p.callers)
 	ops := newServer(opsapi.NewHandler(n))
 	peers := relay.NewServer(listeners.rpc, relay.Handlers{
 		Exec: n.Exec, Heartbeat: n.HandleHeartbeat, Fetch: n.Fetch, FetchHosts: n.FetchHosts,
-		Handover: n.HandleHandover, Reclaim: n.HandleReclaim, Bodies: bodies, Locate: n.Locate, Panicked: n.HandlePanic,
+		Handover: n.HandleHandover, Reclaim: n.HandleReclaim, Bodies: p.bodies, Locate: n.Locate, Panicked: n.HandlePanic,
 	})
 	var group run.Group
 	group.Add(func() error { return serve(server, listeners.http) }, func(error) {
