front, relay: a refusal of an unreadable head does not wait for the body

Such a refusal closes the connection now, as that of a body does, and reads the rest for 0.5 s at most. Bytes of long bodies are counted in peerBytesSent as well.

--- a/lib/front/body.go
+++ b/lib/front/body.go
@@ -23,18 +23,28 @@
 // Handle reads the body of a request whose head was read, of at most limit bytes, and serves the request. With a reason
 // other than ReasonNone it refuses the request without its body.
 func (s Seams) Handle(ec echo.Context, r call.Request, limit int64, reason verd.Reason) call.Answer {
-	if reason != verd.ReasonNone {
-		return s.Refuse(r, verd.NotRun(reason))
-	}
 	begun := time.Now()
-	body, release, reason := s.readBody(ec, limit, r.Timeout())
+	body, release := call.Body{}, func() {}
+	if reason == verd.ReasonNone {
+		body, release, reason = s.readBody(ec, limit, r.Timeout())
+	}
 	if reason != verd.ReasonNone {
+		dropBody(ec)
 		return s.Refuse(r, verd.NotRun(reason))
 	}
 	defer release()
 	return s.Serve(ec.Request().Context(), withoutTime(r.WithBody(body), time.Since(begun)))
 }
 
+// dropBody lets the connection be closed after the answer without the rest of a body, for which net/http would wait otherwise.
+func dropBody(ec echo.Context) {
+	if ec.Request().ContentLength == 0 {
+		return
+	}
+	ec.Response().Header().Set(echo.HeaderConnection, "close")
+	_ = http.NewResponseController(ec.Response().Writer).SetReadDeadline(time.Now().Add(restTime))
+}
+
 // withoutTime takes the time that the body took to arrive from the timeout of the caller, who has waited since.
 func withoutTime(r call.Request, took time.Duration) call.Request {
 	if r.Timeout() == 0 {
@@ -44,8 +54,7 @@
 }
 
 // readBody reads the complete body of a request of a caller that waits for the answer for the given timeout, zero if it is not
-// known. Of a body that is refused, the rest is not read and the connection is closed after the answer. The memory of the
-// body is taken from the budget of the seams until release is called.
+// known. The memory of the body is taken from the budget of the seams until release is called.
 func (s Seams) readBody(ec echo.Context, limit int64, timeout time.Duration) (body call.Body, release func(), reason verd.Reason) {
 	h := ec.Request()
 	if h.ContentLength == 0 {
@@ -55,8 +64,6 @@
 	segments, err := s.read(ec, limit, timeout, hold)
 	if err != nil {
 		hold.Release()
-		ec.Response().Header().Set(echo.HeaderConnection, "close")
-		_ = http.NewResponseController(ec.Response().Writer).SetReadDeadline(time.Now().Add(restTime))
 		return call.Body{}, func() {}, bodyReason(err)
 	}
 	return call.NewBody(segments...).WithRetain(hold.Retain), hold.Release, verd.ReasonNone
--- a/lib/front/body_test.go
+++ b/lib/front/body_test.go
@@ -69,6 +69,7 @@
 		{"grown, beside others", room / 2, chunked, chunk(600_000), 503, verd.ReasonBodiesFull},
 		{"grown, never fits", 0, chunked, chunk(room-spare) + chunk(1), 413, verd.ReasonBodyTooLarge},
 		{"short, beside long ones", room - spare, "Content-Length: 4", "body", 201, verd.ReasonNone},
+		{"unreadable head, body not sent", 0, front.HeaderTimeout + ": soon\r\nContent-Length: 9", "", 400, verd.ReasonBadRequest},
 		{"not sent in time", 0, front.HeaderTimeout + ": 100\r\nContent-Length: 9", "half", 503, verd.ReasonDeadline},
 	}
 	for _, test := range tests {
--- a/lib/relay/codec.go
+++ b/lib/relay/codec.go
@@ -134,6 +134,7 @@
 		}
 	}
 	long.sent = true
+	countSent(header, int(long.Length), f.conn.RemoteAddr(), f.locate)
 	return nil
 }
 
