node, platform: watchers that cannot read the platform make the checks urgent

Logs kept and read: the store refused four of six nodes for 2.6 s, among them every watcher; the two that could read it were on standby, and their next checks came 2.6 s later.

Cause: changes that all watchers miss are found by checks alone, four a second of the whole fleet, and only by nodes that can read the store.

Change: a watcher that cannot read the store says so in its heartbeats; the nodes that hear it check at once, and then twenty times a second in the whole fleet.

--- a/lib/gossip/messages.go
+++ b/lib/gossip/messages.go
@@ -21,6 +21,8 @@
 	hosts   spread.Stamp
 	state   lease.State
 	marks   []crash.Mark
+	// platformLost is set if the sender follows the platform and cannot read it.
+	platformLost bool
 }
 
 // NewHeartbeat returns a heartbeat of the node at an address, with the stamps of the rules and of the list of hosts that it
@@ -35,6 +37,12 @@
 	return h
 }
 
+// WithPlatformLost returns the heartbeat with whether its sender follows the platform and cannot read it.
+func (h Heartbeat) WithPlatformLost(lost bool) Heartbeat { h.platformLost = lost; return h }
+
+// PlatformLost reports whether the sender follows the platform and cannot read it.
+func (h Heartbeat) PlatformLost() bool { return h.platformLost }
+
 // From returns the RPC address of the sender.
 func (h Heartbeat) From() string { return h.from }
 
--- a/lib/node/checks.go
+++ b/lib/node/checks.go
@@ -10,9 +10,12 @@
 
 const (
 	// checksPerSecond is how often all nodes together check the platform for changes that a watch has missed.
-	checksPerSecond  = 4
-	minCheckInterval = 600 * time.Millisecond
-	maxCheckInterval = 30 * time.Second
+	checksPerSecond = 4
+	// urgentChecksPerSecond applies while watchers cannot read the platform: then only the checks find changes.
+	urgentChecksPerSecond = 20
+	minUrgentInterval     = 300 * time.Millisecond
+	minCheckInterval      = 600 * time.Millisecond
+	maxCheckInterval      = 30 * time.Second
 	// aloneCheckInterval applies while no other endpoint is listed: when a whole fleet starts, all nodes watch the platform for
 	// the first entries.
 	aloneCheckInterval = 2 * time.Second
@@ -55,10 +58,21 @@
 	case n.unansweredFor(isolatedAfter):
 		return minCheckInterval
 	}
+	if n.hasLostWatcher() {
+		return max(minUrgentInterval, time.Duration(len(list.Endpoints()))*time.Second/urgentChecksPerSecond)
+	}
 	interval := time.Duration(len(list.Endpoints())) * time.Second / checksPerSecond
 	return min(maxCheckInterval, max(minCheckInterval, interval))
 }
 
+// Urgent returns a channel that receives when Pause becomes shorter, because a watcher cannot read the platform any more.
+func (c *Checks) Urgent() <-chan struct{} {
+	if n := c.node.Load(); n != nil {
+		return n.lostWatcher
+	}
+	return nil
+}
+
 // Standby reports whether the watchers of the node's availability zone follow the platform for it, so that it needs no watch
 // of its own: it is ready and not isolated, and there are as many watchers as there should be besides it. Changes that all
 // watchers have missed are found by the checks, which a node makes in any case.
--- a/lib/node/checks_test.go
+++ b/lib/node/checks_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync/atomic"
 	"testing"
@@ -57,6 +58,43 @@
 	}
 }
 
+// TestLostWatcherMakesChecksUrgent has a peer report for a while that it follows the platform and cannot read it.
+func TestLostWatcherMakesChecksUrgent(t *testing.T) {
+	const (
+		normal = 15 * time.Second // 60 endpoints, four checks a second
+		urgent = 3 * time.Second  // twenty a second
+	)
+	is := is.New(t)
+	var others []string
+	for i := range 59 {
+		others = append(others, fmt.Sprintf("10.0.1.%d:1", i))
+	}
+	var lost atomic.Bool
+	seams := listSeams(t, listed(t, 1, others...))
+	seams.Heartbeat = func(_ context.Context, addr string, _ gossip.Heartbeat) (gossip.Heartbeat, error) {
+		return gossip.NewHeartbeat(addr, false, spread.Stamp{}, spread.Stamp{}).WithPlatformLost(lost.Load() && addr != others[0]), nil
+	}
+	n := newListNode(seams)
+	t.Cleanup(n.Close)
+	checks := node.NewChecks()
+	is.True(checks.Urgent() == nil)
+	checks.Follow(n)
+	awaitReady(t, n)
+	is.Equal(checks.Pause(), normal)
+	lost.Store(true)
+	select {
+	case <-checks.Urgent():
+	case <-time.After(waitTimeout):
+		t.Fatal("nothing is urgent")
+	}
+	is.Equal(checks.Pause(), urgent)
+	lost.Store(false)
+	for end := time.Now().Add(waitTimeout); checks.Pause() != normal; time.Sleep(5 * time.Millisecond) {
+		is.True(time.Now().Before(end))
+	}
+	is.Equal(len(checks.Urgent()), 0) // it is reported once
+}
+
 // TestShortListMakesFewCalls guards against calls for each endpoint of a fleet that starts, while the list is still short.
 func TestShortListMakesFewCalls(t *testing.T) {
 	is := is.New(t)
--- a/lib/node/common.go
+++ b/lib/node/common.go
@@ -141,6 +141,8 @@
 	Probe func(ctx context.Context) bool
 	// Watch waits for a value with a sequence above after; the text is nil if there is none within wait.
 	Watch func(ctx context.Context, name string, after uint64, wait time.Duration) (uint64, []byte, error)
+	// PlatformLost reports whether this node follows the platform and cannot read it; if it is nil, it always can.
+	PlatformLost func() bool
 	// DecodeRules parses rules in the format of the platform; if it is nil, rules.Parse does.
 	DecodeRules func(text []byte) (*rules.Set, error)
 	// DecodeList parses a list of hosts.
--- a/lib/node/heartbeat.go
+++ b/lib/node/heartbeat.go
@@ -178,8 +178,9 @@
 }
 
 func (n *Node) heartbeat() gossip.Heartbeat {
+	lost := n.seams.PlatformLost != nil && n.seams.PlatformLost()
 	return gossip.NewHeartbeat(n.settings.self, n.leaving.Load(),
-		n.rulesStore.Current().Stamp(), n.hostsStore.Current().Stamp())
+		n.rulesStore.Current().Stamp(), n.hostsStore.Current().Stamp()).WithPlatformLost(lost)
 }
 
 // HandleHeartbeat records the heartbeat of a peer and returns the reply. Values of which the peer has a newer version are
@@ -207,6 +208,9 @@
 	if h.Leaving() {
 		n.picker.MarkLeaving(h.From())
 	}
+	if h.PlatformLost() {
+		n.recordLostWatcher(h.From())
+	}
 }
 
 func (n *Node) hasNewerValue(h gossip.Heartbeat) bool {
--- a/lib/node/node.go
+++ b/lib/node/node.go
@@ -95,12 +95,14 @@
 	ctx              context.Context
 	cancel           context.CancelFunc
 	heartbeatTrigger chan struct{}
+	lostWatcher      chan struct{} // full after the first report that a watcher cannot read the platform
 
 	mu                 sync.Mutex
 	tenantRequests     map[string]int
 	heartbeatsInFlight map[string]bool
 	fetching           map[string]bool // by the name of the value
 	lastReplyAt        time.Time
+	lostWatcherAt      time.Time // when a peer last reported that it cannot read the platform
 	heartbeatRounds    int
 }
 
@@ -128,6 +130,7 @@
 		recent:           newRecentKeys(),
 		suspectSlot:      make(chan struct{}, 1),
 		heartbeatTrigger: make(chan struct{}, 1),
+		lostWatcher:      make(chan struct{}, 1),
 		serving:          newInFlightCounter(), executing: newInFlightCounter(),
 		tenantRequests:     map[string]int{},
 		heartbeatsInFlight: map[string]bool{},
--- a/lib/node/watch.go
+++ b/lib/node/watch.go
@@ -18,6 +18,8 @@
 	maxWatchBackoff   = 10 * time.Second
 	// silenceTimeout is the time without any heartbeat reply after which a node watches the platform itself.
 	silenceTimeout = 10 * time.Second
+	// lostWatcherTTL is how long the report of a watcher that cannot read the platform holds; it comes with each heartbeat.
+	lostWatcherTTL = 1500 * time.Millisecond
 )
 
 // watchLoop watches one value at the platform while shouldWatch returns true, and offers each new version to the
@@ -71,3 +73,26 @@
 func (n *Node) jitter(d time.Duration) time.Duration {
 	return d/2 + time.Duration(n.seams.Random()*float64(d))
 }
+
+// recordLostWatcher records the report of a peer that it follows the platform and cannot read it.
+func (n *Node) recordLostWatcher(addr string) {
+	n.mu.Lock()
+	known := n.clock.Now().Sub(n.lostWatcherAt) <= lostWatcherTTL
+	n.lostWatcherAt = n.clock.Now()
+	n.mu.Unlock()
+	if known {
+		return
+	}
+	_ = level.Info(n.log).Log("msg", "a watcher cannot read the platform, checking it more often", "watcher", addr)
+	select {
+	case n.lostWatcher <- struct{}{}:
+	default:
+	}
+}
+
+// hasLostWatcher reports whether a peer has reported lately that it follows the platform and cannot read it.
+func (n *Node) hasLostWatcher() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.lostWatcherAt.IsZero() && n.clock.Now().Sub(n.lostWatcherAt) <= lostWatcherTTL
+}
--- a/lib/relay/convert.go
+++ b/lib/relay/convert.go
@@ -145,7 +145,7 @@
 
 func toBeatWire(b gossip.Heartbeat) BeatWire {
 	w := BeatWire{
-		From: b.From(), Leaving: b.Leaving(), Rules: toStampWire(b.Rules()), Hosts: toStampWire(b.Hosts()),
+		From: b.From(), Leaving: b.Leaving(), Lost: b.PlatformLost(), Rules: toStampWire(b.Rules()), Hosts: toStampWire(b.Hosts()),
 		State: toStateWire(b.State()),
 	}
 	for _, m := range b.Marks() {
@@ -167,7 +167,8 @@
 		}
 		marks = append(marks, crash.NewMark(mw.Fingerprint, crashes))
 	}
-	return gossip.NewHeartbeat(w.From, w.Leaving, w.Rules.stamp(), w.Hosts.stamp()).WithService(w.State.state(), marks)
+	return gossip.NewHeartbeat(w.From, w.Leaving, w.Rules.stamp(), w.Hosts.stamp()).
+		WithPlatformLost(w.Lost).WithService(w.State.state(), marks)
 }
 
 func toHandoverWire(h gossip.Handover) HandoverWire {
--- a/lib/relay/wire.go
+++ b/lib/relay/wire.go
@@ -143,10 +143,12 @@
 	Crashes     []CrashWire
 }
 
-// BeatWire is the wire format of a heartbeat and of the reply to one.
+// BeatWire is the wire format of a heartbeat and of the reply to one. Lost is set if the sender follows the platform and cannot
+// read it.
 type BeatWire struct {
 	From    string
 	Leaving bool
+	Lost    bool
 	Rules   StampWire
 	Hosts   StampWire
 	State   StateWire
--- a/tamarackd/wiring/platform.go
+++ b/tamarackd/wiring/platform.go
@@ -94,13 +94,14 @@
 	checks := node.NewChecks()
 	feed := platform.NewFeed(ctx, platform.NewStore(s.platformAddr), clock.System{}, logger, peerPort,
 		platform.Intervals{
-			Check: checks.Pause, Coalesce: checks.Coalesce, Standby: checks.Standby, Known: knownSequence(checks), Listed: checks.Listed,
+			Check: checks.Pause, Urgent: checks.Urgent, Coalesce: checks.Coalesce,
+			Standby: checks.Standby, Known: knownSequence(checks), Listed: checks.Listed,
 		})
 	nodeSettings := node.NewSettings(s.rpcAddr, s.service, s.zone).WithHeartbeat(s.heartbeat).WithControl(node.Control(s.control)).
 		WithUntraced().WithAlwaysWatch().WithRetries(platformSettings.RetryRatio()*retryBudgetFraction,
 		platformSettings.RetrySlack()*retryBudgetFraction, platformSettings.RetryWindow())
 	seams := nodeSeams(peers, backend, feed.Watch)
-	seams.DecodeRules = platform.DecodeConfig
+	seams.DecodeRules, seams.PlatformLost = platform.DecodeConfig, feed.IsLost
 	n := node.New(node.NewCommon(clock.System{}, logger, nodeSettings, seams))
 	checks.Follow(n)
 	peers.CountBy(n.Locate)
