--- a/lib/back/back.go
+++ b/lib/back/back.go
@@ -127,22 +127,15 @@
 	case errors.Is(err, conns.ErrTooLarge):
 		return call.Refusal(verd.MayHaveRun(verd.ReasonAnswerTooLarge)), false
 	case errors.Is(err, conns.ErrUnsent) && ctx.Err() != nil:
-		return call.Refusal(verd.NotRun(contextReason(ctx))), false
+		return call.Refusal(verd.NotRun(verd.ReasonOf(ctx))), false
 	case errors.Is(err, conns.ErrUnsent):
 		return call.Refusal(verd.NotRun(verd.ReasonBackendDown)), false
 	case ctx.Err() != nil:
-		return call.Refusal(verd.MayHaveRun(contextReason(ctx))), false
+		return call.Refusal(verd.MayHaveRun(verd.ReasonOf(ctx))), false
 	}
 	return call.Refusal(verd.MayHaveRun(verd.ReasonAnswerLost)), true
 }
 
-func contextReason(ctx context.Context) verd.Reason {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return verd.ReasonDeadline
-	}
-	return verd.ReasonCanceled
-}
-
 // Cancel notifies the backend server, with a POST to its cancel path, that the request with the token has been canceled
 // and its answer will not be used.
 func (c *Client) Cancel(path, token string) {
--- a/lib/crash/crash_test.go
+++ b/lib/crash/crash_test.go
@@ -35,8 +35,7 @@
 	is.Equal(len(a.Marks()), 0)
 }
 
-// TestPopularRequestIsNotBlockedAfterARestart guards against the refusal of a request that was at work during crashes at endpoints where it
-// succeeds, by an endpoint that has not run it yet.
+// TestPopularRequestIsNotBlockedAfterARestart guards against an endpoint that refuses what succeeds at all others.
 func TestPopularRequestIsNotBlockedAfterARestart(t *testing.T) {
 	is := is.New(t)
 	c := clock.NewManual(time.Unix(1_800_000_000, 0))
@@ -53,8 +52,7 @@
 	is.Equal(restarted.Status(crashing), crash.Blocked)
 }
 
-// TestOrdinaryRequestsNeverKeepOutSuspects guards against a table that fills with the requests in flight at each crash, so that one
-// that causes crashes is not recognised: two endpoints crash at turns beside many ordinary requests.
+// TestOrdinaryRequestsNeverKeepOutSuspects has two endpoints crash at turns beside many ordinary requests.
 func TestOrdinaryRequestsNeverKeepOutSuspects(t *testing.T) {
 	const (
 		inFlight = 500 // ordinary requests at each crash
--- a/lib/crash/keep.go
+++ b/lib/crash/keep.go
@@ -40,6 +40,9 @@
 	return last
 }
 
+// compareLatest orders marks of later crashes before others.
+func compareLatest(a, b Mark) int { return b.latest().Compare(a.latest()) }
+
 // sorted returns the marks, those that matter most first, and of equal ones those of later crashes.
 func (t *Table) sorted() []Mark {
 	marks := make([]Mark, 0, len(t.marks))
@@ -47,7 +50,7 @@
 		marks = append(marks, m)
 	}
 	slices.SortFunc(marks, func(a, b Mark) int {
-		return cmp.Or(cmp.Compare(t.rankOf(b), t.rankOf(a)), b.latest().Compare(a.latest()))
+		return cmp.Or(cmp.Compare(t.rankOf(b), t.rankOf(a)), compareLatest(a, b))
 	})
 	return marks
 }
@@ -81,7 +84,7 @@
 		}
 	}
 	if len(repeated) > maxSentMarks {
-		slices.SortFunc(repeated, func(a, b Mark) int { return b.latest().Compare(a.latest()) })
+		slices.SortFunc(repeated, compareLatest)
 		repeated = repeated[:maxSentMarks]
 	}
 	return append(repeated, single[:min(len(single), maxSentMarks-len(repeated))]...)
--- a/lib/node/exec.go
+++ b/lib/node/exec.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"runtime/debug"
 	"sync"
@@ -177,7 +176,7 @@
 	case <-ctx.Done():
 	}
 	if n.queue.Withdraw(ticket) {
-		return refuse(r, contextReason(ctx))
+		return refuse(r, verd.ReasonOf(ctx))
 	}
 	if r.Deduped() {
 		return call.Refusal(verd.MayHaveRun(verd.ReasonDeadline))
@@ -194,13 +193,6 @@
 	return verd.ReasonQueueFull
 }
 
-func contextReason(ctx context.Context) verd.Reason {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return verd.ReasonDeadline
-	}
-	return verd.ReasonCanceled
-}
-
 // runJob runs a request in a worker of the queue and settles its claim. A deduplicated request goes on without its
 // caller until settleTimeout after its deadline.
 func (n *Node) runJob(ctx context.Context, r call.Request, service rules.Service, route string, ended chan<- call.Answer) {
--- a/lib/node/replaced_test.go
+++ b/lib/node/replaced_test.go
@@ -14,8 +14,7 @@
 	"tamarackrudder.org/lib/verd"
 )
 
-// TestReplacedEndpointGetsFewRequests guards against requests that each reach an endpoint which rejects them, and then another one,
-// while the list of hosts still names its former instance: all of these count as retries.
+// TestReplacedEndpointGetsFewRequests guards against requests that all reach an endpoint which is another instance than listed.
 func TestReplacedEndpointGetsFewRequests(t *testing.T) {
 	const (
 		requests = 300
--- a/lib/relay/long.go
+++ b/lib/relay/long.go
@@ -141,11 +141,8 @@
 
 // unsentReason returns why a request was not sent whole.
 func unsentReason(ctx context.Context) verd.Reason {
-	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return verd.ReasonDeadline
-	case ctx.Err() != nil:
-		return verd.ReasonCanceled
+	if ctx.Err() != nil {
+		return verd.ReasonOf(ctx)
 	}
 	return verd.ReasonPeerUnreachable
 }
--- a/lib/relay/server.go
+++ b/lib/relay/server.go
@@ -202,6 +202,10 @@
 // Exec runs a request. Its context ends at the deadline, when the peer cancels the request, or when the connection is lost. A
 // request whose handler panics may have run.
 func (n *Node) Exec(args RequestWire, reply *AnswerWire) error {
+	if len(args.Body) == 0 {
+		n.exec(args.request(call.Body{}, time.Now()), reply)
+		return nil
+	}
 	hold := n.handlers.Bodies.Hold()
 	defer hold.Release()
 	if hold.Take(int64(len(args.Body))) != nil {
--- a/lib/roster/roster_test.go
+++ b/lib/roster/roster_test.go
@@ -50,8 +50,7 @@
 	is.Equal(listed(t, table), map[string]string{"10.0.0.1": "shop"})
 }
 
-// TestChangeBetweenPagesIsNotHidden guards against a change of an entry on an earlier page that never comes into force, because an
-// entry on a later page had changed after it: the list must get a new version with each change that is put.
+// TestChangeBetweenPagesIsNotHidden guards against a change that an entry of a later page, read with a later change, keeps out.
 func TestChangeBetweenPagesIsNotHidden(t *testing.T) {
 	is := is.New(t)
 	table := roster.NewTable(clock.NewManual(start))
--- a/lib/verd/verd.go
+++ b/lib/verd/verd.go
@@ -1,6 +1,7 @@
 package verd
 
 import (
+	"context"
 	"errors"
 	"fmt"
 )
@@ -75,6 +76,14 @@
 // MayHaveRun is the verdict of a request that may have started, and whose complete response was not received.
 func MayHaveRun(reason Reason) Verdict { return Verdict{kind: KindMayHaveRun, reason: reason} }
 
+// ReasonOf returns why a request is given up whose context has ended: its deadline has passed, or it was canceled.
+func ReasonOf(ctx context.Context) Reason {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return ReasonDeadline
+	}
+	return ReasonCanceled
+}
+
 // Parse returns the verdict of a kind and a reason as they are written in headers and messages. An unknown kind is an
 // error; the reason is not checked.
 func Parse(kind, reason string) (Verdict, error) {
