review: foreign entries keep the nodes from following the store

Cause: watchers are chosen among all listed endpoints, also those of services that no configuration names.

--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -17,6 +17,7 @@
 var cases = map[string]func(w *World, trouble bool) (bool, error){
 	"cut":            cutWatches,
 	"left-poison":    leftPoison,
+	"foreign":        foreignEntries,
 	"callers-poison": callersPoison,
 }
 
@@ -34,6 +35,7 @@
 		fmt.Println("not run:", err)
 		return exitNotRun
 	}
+	defer w.record.Close()
 	defer w.Close()
 	trouble := os.Getenv("TROUBLE") != "0"
 	broken, err := run(w, trouble)
--- a/review/stand2/world.go
+++ b/review/stand2/world.go
@@ -58,11 +58,18 @@
 
 // NewWorld returns a world without hosts, on loopback addresses that are free.
 func NewWorld(dir, binary string) (*World, error) {
-	temp, err := os.MkdirTemp("", "case")
+	record, err := NewRecord(filepath.Join(dir, "record.txt"))
 	if err != nil {
 		return nil, err
 	}
-	record, err := NewRecord(filepath.Join(dir, "record.txt"))
+	return newWorld(dir, binary, record)
+}
+
+// Another returns a world beside this one, with the same record. It is closed before this one.
+func (w *World) Another() (*World, error) { return newWorld(w.dir, w.binary, w.record) }
+
+func newWorld(dir, binary string, record *Record) (*World, error) {
+	temp, err := os.MkdirTemp("", "case")
 	if err != nil {
 		return nil, err
 	}
@@ -252,7 +259,7 @@
 	return nil
 }
 
-// Close ends all processes of the world, and keeps their logs if KEEP_LOGS names a folder.
+// Close ends all processes of the world, and keeps their logs in the folder that KEEP_LOGS names, if any.
 func (w *World) Close() {
 	for _, h := range w.hosts {
 		h.mu.Lock()
@@ -263,10 +270,8 @@
 			<-exited
 		}
 	}
-	w.record.Close()
 	if keep := os.Getenv("KEEP_LOGS"); keep != "" {
-		_ = os.RemoveAll(keep)
-		_ = os.Rename(w.temp, keep)
+		_ = os.Rename(w.temp, filepath.Join(keep, w.subnet))
 		return
 	}
 	_ = os.RemoveAll(w.temp)
