review: the stand-ins keep the platform's names in data files

Change: names, settings and the entry's form stand in names.json, settings.yaml and entry.json, as in review/stand.

--- a/review/stand2/client.go
+++ b/review/stand2/client.go
@@ -18,7 +18,7 @@
 	host    string
 	path    string
 	body    []byte
-	limit   time.Duration // X-Deadline-Ms
+	limit   time.Duration // the time limit that is sent
 	patient time.Duration // how long the client of the test keeps listening, for the judgement
 }
 
@@ -73,7 +73,7 @@
 	}
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(g.sent.Add(a.patient))
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\n", a.method, a.path, a.host, a.id,
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", a.method, a.path, a.host, names.Attempt, a.id, names.Deadline,
 		a.limit.Milliseconds())
 	if a.method != http.MethodGet {
 		head += fmt.Sprintf("Content-Length: %d\r\n", len(a.body))
@@ -89,6 +89,6 @@
 	if err != nil {
 		return err
 	}
-	g.status, g.stamp, g.body, g.header = response.StatusCode, response.Header.Get("X-Server-Stamp"), string(body), response.Header
+	g.status, g.stamp, g.body, g.header = response.StatusCode, response.Header.Get(names.Stamp), string(body), response.Header
 	return nil
 }
--- a/review/stand2/config.go
+++ b/review/stand2/config.go
@@ -42,6 +42,6 @@
 			"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
 		},
 	})
-	w.store.Put("op/config", text)
+	w.store.Put(names.ConfigKey, text)
 	w.record.Add("configuration %s acknowledged", version)
 }
--- a/review/stand2/endpoint.go
+++ b/review/stand2/endpoint.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
@@ -98,14 +97,10 @@
 // write puts the endpoint's entry into the store.
 func (e *Endpoint) write(coldMS int) {
 	e.mu.Lock()
-	entry := map[string]any{
-		"service": e.service, "address": e.addr, "zone": e.host.zone, "version": "v1", "slots": e.slots, "state": e.state,
-		"cold_remaining_ms": coldMS, "sequence": e.sequence, "born": e.born,
-	}
-	key := "servers/" + e.id
+	text := fmt.Sprintf(entryFormat, e.service, e.addr, e.host.zone, e.slots, e.state, coldMS, e.sequence, e.born)
+	key := names.EntryPrefix + e.id
 	e.mu.Unlock()
-	text, _ := json.Marshal(entry)
-	e.world.store.Put(key, text)
+	e.world.store.Put(key, []byte(text))
 }
 
 // Drain reports that the endpoint is leaving; it goes on serving.
@@ -119,7 +114,7 @@
 
 // Remove takes the entry out of the store.
 func (e *Endpoint) Remove() {
-	e.world.store.Delete("servers/" + e.id)
+	e.world.store.Delete(names.EntryPrefix + e.id)
 	e.world.record.Add("entry of endpoint %s of %s removed", e.id, e.service)
 }
 
@@ -144,24 +139,24 @@
 	e.mu.Lock()
 	id, draining := e.id, e.state != "ready"
 	e.mu.Unlock()
-	attempt := r.Header.Get("X-Attempt-Id")
+	attempt := r.Header.Get(names.Attempt)
 	h := w.Header()
-	h.Set("X-Attempt-Id", attempt)
+	h.Set(names.Attempt, attempt)
 	h.Set("Keep-Alive", "timeout=10")
-	h.Set("X-Server-Load", fmt.Sprintf("%d,0,%d", e.running.Load(), e.slots))
+	h.Set(names.Load, fmt.Sprintf("%d,0,%d", e.running.Load(), e.slots))
 	if draining {
 		h.Set("Connection", "close")
 	}
 	e.arrived.Add(1)
-	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != id {
+	if expected := r.Header.Get(names.Expected); expected != "" && expected != id {
 		e.world.record.Add("421 %s at %s, which expects %s", attempt, id, expected)
-		h.Set("X-Instance-Id", id)
+		h.Set(names.Instance, id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	if int(e.running.Add(1)) > e.slots {
 		e.running.Add(-1)
-		h.Set("X-Not-Executed", "1")
+		h.Set(names.NotExecuted, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -170,19 +165,19 @@
 	if err != nil {
 		return
 	}
-	ms, err := strconv.ParseFloat(r.Header.Get("X-Deadline-Ms"), 64)
+	ms, err := strconv.ParseFloat(r.Header.Get(names.Deadline), 64)
 	if err != nil {
 		ms = 60_000
 	}
 	now := time.Now()
 	run := Run{endpoint: e, http: r, id: attempt, begun: now, body: n, deadline: now.Add(time.Duration(ms * float64(time.Millisecond)))}
 	e.world.record.Add("run %s %s %s at %s, deadline %.0f ms, caller %s", attempt, r.Method, r.URL.Path, e.host.name, ms,
-		r.Header.Get("X-Caller-Service"))
+		r.Header.Get(names.Caller))
 	status, body := e.handle(run)
 	if status == 0 {
 		panic(http.ErrAbortHandler)
 	}
-	h.Set("X-Server-Stamp", fmt.Sprintf("stamp.%s", attempt))
+	h.Set(names.Stamp, fmt.Sprintf("stamp.%s", attempt))
 	w.WriteHeader(status)
 	_, _ = w.Write(body)
 }
@@ -211,7 +206,7 @@
 		return
 	}
 	e.Crash()
-	time.AfterFunc(3*beatInterval, func() { e.world.store.Delete("servers/" + id) })
+	time.AfterFunc(3*beatInterval, func() { e.world.store.Delete(names.EntryPrefix + id) })
 	time.AfterFunc(down, func() {
 		if err := e.Start(""); err != nil {
 			e.world.record.Add("endpoint at %s is not back: %v", e.host.name, err)
--- a/review/stand2/foreign.go
+++ b/review/stand2/foreign.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -152,11 +151,9 @@
 // putForeignEntries writes entries of another writer to the store. Nobody listens at their addresses.
 func (w *World) putForeignEntries(count int) {
 	for i := range count {
-		text, _ := json.Marshal(map[string]any{
-			"service": "nobody", "address": fmt.Sprintf("%s.%d:%d", w.subnet, 150+i, portApp), "zone": "z" + strconv.Itoa(i%3),
-			"version": "v1", "slots": 10, "state": "ready", "cold_remaining_ms": 0, "sequence": 4, "born": time.Now().UnixMilli(),
-		})
-		w.store.Put("servers/x-"+strconv.Itoa(i), text)
+		text := fmt.Sprintf(entryFormat, "nobody", fmt.Sprintf("%s.%d:%d", w.subnet, 150+i, portApp), "z"+strconv.Itoa(i%3), 10, "ready", 0, 4,
+			time.Now().UnixMilli())
+		w.store.Put(names.EntryPrefix+"x-"+strconv.Itoa(i), []byte(text))
 	}
 	w.record.Add("%d entries of another writer, of a service that no configuration names", count)
 }
--- a/review/stand2/poison.go
+++ b/review/stand2/poison.go
@@ -43,7 +43,7 @@
 	var arrivals, crashes []time.Time
 	lost := 0
 	work := func(r Run) (int, []byte) {
-		if r.http.URL.Path != poisonPath || r.http.Header.Get("X-Caller-Service") != caller {
+		if r.http.URL.Path != poisonPath || r.http.Header.Get(names.Caller) != caller {
 			return r.Work(60 * time.Millisecond)
 		}
 		mu.Lock()
--- a/review/stand2/store.go
+++ b/review/stand2/store.go
@@ -103,9 +103,9 @@
 		return err
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("/kv-key", s.key)
-	mux.HandleFunc("/kv-range", s.list)
-	mux.HandleFunc("/kv-watch", s.watch)
+	mux.HandleFunc(names.KeyPath, s.key)
+	mux.HandleFunc(names.RangePath, s.list)
+	mux.HandleFunc(names.WatchPath, s.watch)
 	go func() {
 		_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			time.Sleep(answerDelay)
--- a/review/stand2/world.go
+++ b/review/stand2/world.go
@@ -103,64 +103,10 @@
 	return h, h.endpoint.Start("")
 }
 
-const settingsText = `node_name: "%s"
-role: "node"
-machine_class: "sidecar"
-serves:
-  - "sidecar"
-ip: "%s"
-zone: "%s"
-region: "r"
-listen:
-  inbound: "%s:%d"
-  outbound: "%s:%d"
-  ready: "%s:%d"
-port_range:
-  - %d
-  - %d
-seed_nodes: []
-bootstrap: true
-limits:
-  cpu_share: 0.64
-  cpu_cores: 1
-  memory_mb: %d
-  max_fds: 4100
-  link_mbps: 1000.0
-  disk_mb: 0
-data_dir: null
-discovery: "platform"
-entry_point: "static"
-heartbeat_ms: 1500
-bounds:
-  - "seed_lag_s=3"
-  - "addr_reuse_s=2"
-  - "contact_ms=3000"
-  - "ack_ms=4000"
-  - "catch_up_s=4"
-  - "drain_ms=2000"
-  - "grace_s=6"
-  - "loss_slack_ms=200"
-  - "config_apply_ms=2000"
-  - "rollback_slack_ms=250"
-  - "max_stretch_ms=5000"
-  - "retry_budget_ratio=0.2"
-  - "retry_window_s=10"
-  - "retry_slack=47"
-  - "recovery_s=15"
-app_addr: "%s:%d"
-service: "%s"
-platform:
-  address: "%s:%d"
-  form: "read"
-  reads_per_s: 2000
-  history_s: 20
-  value_bytes: 1048576
-`
-
 // StartNode starts the node of a host with the command of the deploy file.
 func (h *Host) StartNode() error {
 	h.settings = filepath.Join(h.world.temp, h.name+".yaml")
-	text := fmt.Sprintf(settingsText, h.name, h.ip, h.zone, h.ip, portInbound, h.ip, portOutbound, h.ip, portReady, portOps,
+	text := fmt.Sprintf(settingsFormat, h.name, h.ip, h.zone, h.ip, portInbound, h.ip, portOutbound, h.ip, portReady, portOps,
 		portOps+15, h.memoryMB, h.ip, portApp, h.service, h.storeIP, portStore)
 	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
 		return err
@@ -170,7 +116,7 @@
 		return err
 	}
 	command := exec.Command(h.world.binary, "platform")
-	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=/tmp", "LANG=C", "TAMARACKRUDDER_BOOT=" + h.settings}
+	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=/tmp", "LANG=C", names.SettingsVariable + "=" + h.settings}
 	command.Stdout, command.Stderr = log, log
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
