--- a/review/stand2/endpoint.go
+++ b/review/stand2/endpoint.go
@@ -103,15 +103,6 @@
 	e.world.store.Put(key, []byte(text))
 }
 
-// Drain reports that the endpoint is leaving; it goes on serving.
-func (e *Endpoint) Drain() {
-	e.mu.Lock()
-	e.state = "draining"
-	e.mu.Unlock()
-	e.write(0)
-	e.world.record.Add("endpoint %s of %s is draining", e.id, e.service)
-}
-
 // Remove takes the entry out of the store.
 func (e *Endpoint) Remove() {
 	e.world.store.Delete(names.EntryPrefix + e.id)
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -18,6 +18,7 @@
 	"cut":            cutWatches,
 	"left-poison":    leftPoison,
 	"foreign":        foreignEntries,
+	"long-answers":   longAnswers,
 	"callers-poison": callersPoison,
 }
 
--- a/review/stand2/store.go
+++ b/review/stand2/store.go
@@ -27,23 +27,22 @@
 	Deleted  bool   `json:"deleted,omitempty"`
 }
 
-// Store is the platform's store. Each node reaches it at an address of its own, where it can be turned away.
+// Store is the platform's store. Each node reaches it at an address of its own.
 type Store struct {
 	mu       sync.Mutex
 	revision int64
 	items    map[string]item
 	history  []item
 	changed  chan struct{}
-	turned   map[string]int // by node: the status it gets, 0 for service
-	cutCount int            // watches that were cut
-	left     chan struct{}  // receives when a node gives up a watch that waits
-	cut      chan struct{}  // closed to cut the watches that wait
+	cutCount int           // watches that were cut
+	left     chan struct{} // receives when a node gives up a watch that waits
+	cut      chan struct{} // closed to cut the watches that wait
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
 	return &Store{
-		revision: 100, items: map[string]item{}, changed: make(chan struct{}), turned: map[string]int{}, cut: make(chan struct{}),
+		revision: 100, items: map[string]item{}, changed: make(chan struct{}), cut: make(chan struct{}),
 		left: make(chan struct{}, 1),
 	}
 }
@@ -81,13 +80,6 @@
 	s.changed = make(chan struct{})
 }
 
-// Turn lets the store answer a node with a status only, 0 for service.
-func (s *Store) Turn(node string, status int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.turned[node] = status
-}
-
 // CutWatches closes the connections of all watches that wait.
 func (s *Store) CutWatches() {
 	s.mu.Lock()
@@ -96,8 +88,8 @@
 	s.cut = make(chan struct{})
 }
 
-// Listen serves one node at an address.
-func (s *Store) Listen(node, addr string) error {
+// Listen serves at an address.
+func (s *Store) Listen(addr string) error {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return err
@@ -109,13 +101,6 @@
 	go func() {
 		_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			time.Sleep(answerDelay)
-			s.mu.Lock()
-			status := s.turned[node]
-			s.mu.Unlock()
-			if status != 0 {
-				w.WriteHeader(status)
-				return
-			}
 			mux.ServeHTTP(w, r)
 		}))
 	}()
