platform, roster: a watch that was cut is no outage

Cause: net/http sends a GET again by itself when a kept connection breaks, within what is left of the first one's time limit. A watch that the store had cut at 5 s so ended at 27 s, 2 s before its answer was due. The roster measured the outage from the last answer, 27 s before, and not from the first failed call, 0.1 s before, so that it began a grace period, and all nodes doubted the removal.

Evidence: no line in the log when the watches are cut; at 27 s "context deadline exceeded" for a watch of 25 s, and the stand-in of the store records a watch that a node has given up, which can only be a second one; "awayMs=138" followed by "removed entry may only have expired".

A broken or timed-out connection alone is no outage, the next call tells, and peers are not told before. An outage is measured from its first failed call. An error status or a refused connection counts at once, as before.

Three tests of the roster were wrong in their setup: MarkUnreachable and MarkReachable without time between them stood for an outage, which held only because the table had never been read. They now let 2 s pass; what they check is unchanged.

--- a/lib/roster/outage.go
+++ b/lib/roster/outage.go
@@ -21,30 +21,45 @@
 	certainAfter = outdatedTimeout
 )
 
+// RecordUnanswered records that a connection to the platform broke or timed out before it answered a call, and reports whether
+// the platform is unreachable: it is not by one such call, only if the next one fails as well.
+func (t *Table) RecordUnanswered() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.failingSince.IsZero() {
+		t.failingSince = t.clock.Now()
+		return false
+	}
+	t.unreachable = true
+	return true
+}
+
 // MarkUnreachable records that the platform cannot be read.
 func (t *Table) MarkUnreachable() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.unreachable {
-		t.unreachable, t.unreachableSince = true, t.clock.Now()
+	t.unreachable = true
+	if t.failingSince.IsZero() {
+		t.failingSince = t.clock.Now()
 	}
 }
 
-// MarkReachable records that the platform was read, and returns for how long it could not be, zero if it could.
+// MarkReachable records that the platform was read, and returns for how long it could not be since the first failed call, zero
+// if it could.
 func (t *Table) MarkReachable() time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := t.clock.Now()
-	last := t.reachedAt
-	t.reachedAt = now
-	if !t.unreachable {
+	wasUnreachable, since := t.unreachable, t.failingSince
+	t.unreachable, t.failingSince = false, time.Time{}
+	if !wasUnreachable {
 		return 0
 	}
-	t.unreachable = false
-	if now.Sub(last) >= minOutage {
+	now := t.clock.Now()
+	outage := now.Sub(since)
+	if outage >= minOutage {
 		t.startGrace(now)
 	}
-	return now.Sub(t.unreachableSince)
+	return outage
 }
 
 // startGrace lets missing entries count for missingGrace from now. Held entries stay so at least as long, since their
@@ -59,7 +74,14 @@
 	}
 }
 
-// IsUnreachable reports whether the platform could not be read when it was last tried.
+// IsFailing reports whether the last call to the platform failed.
+func (t *Table) IsFailing() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.failingSince.IsZero()
+}
+
+// IsUnreachable reports whether the platform could not be read when it was last tried, and not only one connection to it broke.
 func (t *Table) IsUnreachable() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/lib/roster/outage_test.go
+++ b/lib/roster/outage_test.go
@@ -128,6 +128,54 @@
 	is.Equal(len(listed(t, p.cut)), 1)
 }
 
+// TestQuietTimeIsNoOutage guards against an endpoint that has left and counts for a grace period, because the platform had not been
+// read for long before one call to it failed.
+func TestQuietTimeIsNoOutage(t *testing.T) {
+	const quiet = 27 * time.Second
+	tests := []struct {
+		outage time.Duration
+		want   bool // removals are doubtful
+	}{
+		{100 * time.Millisecond, false},
+		{1400 * time.Millisecond, false},
+		{1500 * time.Millisecond, true},
+		{5 * time.Second, true},
+	}
+	for _, test := range tests {
+		t.Run(test.outage.String(), func(t *testing.T) {
+			is := is.New(t)
+			p := newPair(0)
+			p.cut.MarkReachable()
+			p.clock.Advance(quiet)
+			p.cut.MarkUnreachable()
+			p.clock.Advance(test.outage)
+			p.cut.MarkUnreachable() // a later failure of the same outage
+			p.cut.MarkReachable()
+			is.Equal(p.cut.Remove("a", at(7)), test.want)
+		})
+	}
+}
+
+// TestOneUnansweredCallIsNoOutage guards against one broken connection that is taken for an outage, and against an outage that is
+// counted from a later failure than the first.
+func TestOneUnansweredCallIsNoOutage(t *testing.T) {
+	is := is.New(t)
+	p := newPair(0)
+	p.cut.MarkReachable()
+	is.True(!p.cut.RecordUnanswered())
+	is.True(p.cut.IsFailing())
+	is.True(!p.cut.IsUnreachable())
+	p.clock.Advance(5 * time.Second) // the next call is answered late
+	is.Equal(p.cut.MarkReachable(), time.Duration(0))
+	is.True(!p.cut.RecordUnanswered())
+	p.clock.Advance(time.Second)
+	is.True(p.cut.RecordUnanswered())
+	is.True(p.cut.IsUnreachable())
+	p.clock.Advance(time.Second)
+	is.Equal(p.cut.MarkReachable(), 2*time.Second)
+	is.True(p.cut.Remove("a", at(7))) // it may have expired
+}
+
 // TestOutageOfThePlatformKeepsEndpoints checks that entries which expired in an outage count everywhere, also at a node that was
 // started in it.
 func TestOutageOfThePlatformKeepsEndpoints(t *testing.T) {
--- a/lib/roster/roster.go
+++ b/lib/roster/roster.go
@@ -46,20 +46,19 @@
 
 // Table holds the published entries by name.
 type Table struct {
-	clock            clock.Clock
-	mu               sync.Mutex
-	entries          map[string]*entry
-	tombstones       map[string]tombstone
-	services         map[string]bool // that the configuration names, nil while it is not known
-	position         Position
-	certain          bool // when the position was reached
-	localChanges     uint64
-	unreachableSince time.Time
-	reachedAt        time.Time // the last time that the platform was read
-	graceSince       time.Time // the end of the last outage, or the last restoration
-	followedSince    time.Time // from here on all changes are known
-	unreachable      bool
-	everRead         bool
+	clock         clock.Clock
+	mu            sync.Mutex
+	entries       map[string]*entry
+	tombstones    map[string]tombstone
+	services      map[string]bool // that the configuration names, nil while it is not known
+	position      Position
+	certain       bool // when the position was reached
+	localChanges  uint64
+	failingSince  time.Time // the first failed call since the platform was read, zero if the last one did not fail
+	graceSince    time.Time // the end of the last outage, or the last restoration
+	followedSince time.Time // from here on all changes are known
+	unreachable   bool
+	everRead      bool
 }
 
 // NewTable returns an empty table.
@@ -74,7 +73,7 @@
 	defer t.mu.Unlock()
 	t.entries, t.tombstones = map[string]*entry{}, map[string]tombstone{}
 	t.position, t.certain, t.localChanges = Position{}, false, 0
-	t.unreachable, t.unreachableSince, t.reachedAt = false, time.Time{}, time.Time{}
+	t.unreachable, t.failingSince = false, time.Time{}
 	t.graceSince, t.followedSince = time.Time{}, time.Time{}
 	t.everRead = false
 }
--- a/lib/roster/roster_test.go
+++ b/lib/roster/roster_test.go
@@ -17,6 +17,9 @@
 	return hosts.NewEndpoint(service, ip, "z0", ip+":1", false).WithInstance(service+ip, started)
 }
 
+// outage is an outage of the platform in which entries can expire.
+const outage = 2 * time.Second
+
 // at returns the position of a revision in the first epoch.
 func at(revision uint64) roster.Position { return atEpoch(0, revision) }
 
@@ -159,6 +162,7 @@
 	table := roster.NewTable(c)
 	table.Put("a", endpoint("desk", "10.0.0.1", start), at(7))
 	table.MarkUnreachable()
+	c.Advance(outage)
 	table.MarkReachable()
 	table.Replace(nil, at(8))
 	c.Advance(1500 * time.Millisecond)
@@ -175,6 +179,7 @@
 	table := roster.NewTable(c)
 	table.Put("a", endpoint("desk", "10.0.0.1", start), at(7))
 	table.MarkUnreachable()
+	c.Advance(outage)
 	table.MarkReachable()
 	table.Remove("a", at(8))
 	table.MarkUnreachable()
@@ -213,6 +218,7 @@
 	table.Put("a", endpoint("desk", "10.0.0.1", start), at(7))
 	grows()
 	table.MarkUnreachable()
+	c.Advance(outage)
 	table.MarkReachable()
 	table.Remove("a", at(8))
 	grows()
