node, call: a crash mark is that of one calling service

Cause: the calling service, which endpoints get with each request, was no part of the fingerprint. The sound caller's success cleared the fingerprint at the endpoint, whatever the number of crashes, and kept it from being told to peers.

Evidence: a new line of the log at each crash has caller, fingerprint, recorded crashes and whether the fingerprint has succeeded. For the crashing request it says caller=web, succeeded=true and up to crashes=9. So crashes are recorded and not pushed out; the success clears them.

Change: marks and successes go by a fingerprint with the entry service, which entry nodes have from their settings, later hops get with the request, and a restarted node has again. Claims of keys and the ledger of a request's own calls keep the fingerprint of the content: a resend may come through a node beside another service, and the calls of a request have one caller.

Red before: TestCrashingRequestOfOneCallerIsStopped.

--- a/lib/call/request.go
+++ b/lib/call/request.go
@@ -213,18 +213,37 @@
 	return r.key != "" && !r.fresh && !idempotent && r.method != "GET" && r.method != "HEAD"
 }
 
-// Fingerprint returns a hash of method, path, query and body, by which requests with equal content are recognised.
+// Fingerprint returns a hash of method, path, query and body, by which requests with equal content are recognised, whoever
+// sends them.
 func (r Request) Fingerprint() uint64 {
 	d := xxhash.New()
-	for _, part := range [...]string{r.method, r.path, r.query} {
-		_, _ = d.WriteString(part)
-		_, _ = d.Write([]byte{0})
-	}
+	r.writeContent(d)
+	return d.Sum64()
+}
+
+// CallerFingerprint returns a hash of the content and of the entry service, by which requests of the same calling service with
+// equal content are recognised.
+func (r Request) CallerFingerprint() uint64 {
+	d := xxhash.New()
+	writePart(d, r.entryService)
+	r.writeContent(d)
+	return d.Sum64()
+}
+
+func (r Request) writeContent(d *xxhash.Digest) {
+	writePart(d, r.method)
+	writePart(d, r.path)
+	writePart(d, r.query)
 	if r.emptyQuery {
 		_, _ = d.WriteString("?")
 	}
 	for _, segment := range r.body.Segments() {
 		_, _ = d.Write(segment)
 	}
-	return d.Sum64()
+}
+
+// writePart adds a part that ends where the next one begins.
+func writePart(d *xxhash.Digest, part string) {
+	_, _ = d.WriteString(part)
+	_, _ = d.Write([]byte{0})
 }
--- a/lib/crash/crash.go
+++ b/lib/crash/crash.go
@@ -92,11 +92,13 @@
 	return &Table{clock: c, start: c.Now(), self: self, marks: map[uint64]Mark{}, succeeded: recent.NewSet[uint64](maxSucceeded)}
 }
 
-// RecordCrash records that the local backend server crashed while a request with the fingerprint was in flight.
-func (t *Table) RecordCrash(fingerprint uint64) {
+// RecordCrash records that the local backend server crashed while a request with the fingerprint was in flight, and returns the
+// number of crashes that are recorded for it.
+func (t *Table) RecordCrash(fingerprint uint64) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.merge(NewMark(fingerprint, []Crash{NewCrash(t.self, t.now())}))
+	return len(t.marks[fingerprint].crashes)
 }
 
 // Merge adds the crashes in the marks of a peer, except those that are recorded already or have expired. It reports whether any
--- a/lib/node/exec.go
+++ b/lib/node/exec.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"runtime/debug"
+	"strconv"
 	"sync"
 	"time"
 
@@ -94,11 +95,12 @@
 		return refuse(r, verd.ReasonOrganisationLimit)
 	}
 	defer n.releaseOrganisation(r.Organisation())
-	status := n.crashes.Status(r.Fingerprint())
+	fingerprint := r.CallerFingerprint()
+	status := n.crashes.Status(fingerprint)
 	if status == crash.Blocked {
 		return refuse(r, verd.ReasonCrashSuspect)
 	}
-	if status == crash.Clear && (!r.CrashSuspect() || n.crashes.HasSucceeded(r.Fingerprint())) {
+	if status == crash.Clear && (!r.CrashSuspect() || n.crashes.HasSucceeded(fingerprint)) {
 		return n.execQueued(ctx, r, service)
 	}
 	return n.execSuspect(ctx, r, service)
@@ -114,11 +116,12 @@
 	}
 	release := sync.OnceFunc(func() { <-n.suspectSlot })
 	defer release()
-	switch n.crashes.Status(r.Fingerprint()) {
+	fingerprint := r.CallerFingerprint()
+	switch n.crashes.Status(fingerprint) {
 	case crash.Blocked:
 		return refuse(r, verd.ReasonCrashSuspect)
 	case crash.Clear:
-		if !r.CrashSuspect() || n.crashes.HasSucceeded(r.Fingerprint()) {
+		if !r.CrashSuspect() || n.crashes.HasSucceeded(fingerprint) {
 			release()
 		}
 	}
@@ -299,7 +302,7 @@
 		n.runTimes.sample(r.route, r.total) // failed runs take slots too
 	}
 	if v.HasRun() {
-		n.crashes.RecordSuccess(r.request.Fingerprint())
+		n.crashes.RecordSuccess(r.request.CallerFingerprint())
 	}
 	if v.HasRun() && a.Status() >= failedStatus {
 		n.logDecision("backend server failed", r.request, "route", r.route, "status", a.Status(),
@@ -324,7 +327,10 @@
 	if !n.hasCrashed(ctx) {
 		return call.Refusal(verd.MayHaveRun(verd.ReasonConnLost))
 	}
-	n.crashes.RecordCrash(r.Fingerprint())
+	fingerprint := r.CallerFingerprint()
+	crashes := n.crashes.RecordCrash(fingerprint)
+	n.logDecision("backend server crashed beside the request", r, "route", route, "caller", r.EntryService(),
+		"fingerprint", strconv.FormatUint(fingerprint, 16), "crashes", crashes, "succeeded", n.crashes.HasSucceeded(fingerprint))
 	n.triggerHeartbeat()
 	return a
 }
--- a/lib/node/promise_test.go
+++ b/lib/node/promise_test.go
@@ -5,9 +5,11 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/matryer/is"
 
 	"tamarackrudder.org/lib/call"
@@ -130,6 +132,44 @@
 	is.True(total <= 2) // crashes of backend servers from one fingerprint
 }
 
+// TestCrashingRequestOfOneCallerIsStopped guards against a crashing request that is never stopped, because another service sends
+// one with the same content that is sound; that one is served all the while.
+func TestCrashingRequestOfOneCallerIsStopped(t *testing.T) {
+	const crashing, sound = "desk", "shop"
+	is := is.New(t)
+	crashes := &atomic.Int64{}
+	run := func(_ string, r call.Request, _ func(string, string, string, []byte) call.Answer) (call.Answer, bool) {
+		if r.EntryService() != crashing {
+			return ok(r), false
+		}
+		crashes.Add(1)
+		return call.Refusal(verd.MayHaveRun(verd.ReasonAnswerLost)), true
+	}
+	w := newWorld(t, flatRules, []string{"shop", crashing}, 3, run)
+	send := func(entry, caller string) verd.Verdict {
+		r := call.NewRequest(uuid.NewString(), "GET", "/items/1", "").WithEntryService(caller)
+		return w.nodes[entry].Serve(context.Background(), r).Verdict()
+	}
+	for i := range 20 {
+		is.True(send(fmt.Sprintf("10.0.0.%d:1", i%3), sound).HasRun())
+		send(fmt.Sprintf("10.1.0.%d:1", i%3), crashing)
+		time.Sleep(50 * time.Millisecond) // the caller resends more slowly than crash marks spread
+	}
+	is.True(crashes.Load() <= 2)
+
+	const restarted = "10.0.0.0:1"
+	w.nodes[restarted].Close()
+	w.startNode(t, "shop", restarted, "z0")
+	at := func(caller string) verd.Verdict {
+		r := call.NewRequest(uuid.NewString(), "GET", "/items/1", "").WithRoute("shop", false).WithEntryService(caller)
+		return w.nodes[restarted].Exec(t.Context(), r.WithDeadline(time.Now().Add(waitTimeout))).Verdict()
+	}
+	w.waitFor(t, "the marks of its peers", func() bool { return w.nodes[restarted].Ready() && w.nodes[restarted].Marks() > 0 })
+	is.Equal(at(crashing), verd.NotRun(verd.ReasonCrashSuspect))
+	is.True(at(sound).HasRun())
+	is.True(crashes.Load() <= 2)
+}
+
 func TestLeavingEndpointGetsNoNewWork(t *testing.T) {
 	var mu sync.Mutex
 	late := 0
--- a/lib/relay/relay_test.go
+++ b/lib/relay/relay_test.go
@@ -92,6 +92,22 @@
 	is.Equal(r.List(), uint64(7))
 }
 
+// TestPeerRecognisesTheCaller guards against a crashing request that the node which runs it takes for that of another caller.
+func TestPeerRecognisesTheCaller(t *testing.T) {
+	is := is.New(t)
+	received := make(chan uint64, 1)
+	addr := serve(t, func(ctx context.Context, r call.Request) call.Answer {
+		received <- r.CallerFingerprint()
+		return echo(ctx, r)
+	})
+	peers := relay.NewPeers(relay.DialTCP)
+	for _, body := range []string{"", "short", strings.Repeat("long", 1<<18)} {
+		sent := request("1", body, time.Minute).WithEntryService("desk").WithEmptyQuery(true)
+		is.True(peers.Exec(t.Context(), addr, sent).Verdict().HasRun())
+		is.Equal(<-received, sent.CallerFingerprint())
+	}
+}
+
 // TestStatusThatIsNoneIsNoAnswer guards against passing on what a peer of another version took for an answer.
 func TestStatusThatIsNoneIsNoAnswer(t *testing.T) {
 	for status, ran := range map[int]bool{-1: false, 0: false, 99: false, 100: false, 199: false, 200: true, 599: true, 600: false, 1000: false} {
