queue: tickets and reports have files of their own

Moved without a change: queue.go held 427 lines, among them what a ticket is and what a queue reports of itself. The tests of lib/queue pass.

--- a/lib/queue/queue.go
+++ b/lib/queue/queue.go
@@ -9,37 +9,6 @@
 	"tamarackrudder.org/lib/fair"
 )
 
-// Ticket is one request that is to wait for the backend server.
-type Ticket struct {
-	run      func()
-	drop     func()
-	class    string
-	priority int
-	deadline time.Time
-	estimate time.Duration
-	queued   bool
-	// usefulBy is until when an answer has its full value, zero if only the deadline counts.
-	usefulBy time.Time
-	begun    bool // it belongs to a request of which a part has run
-	queuedAt time.Time
-	flow     string
-	weight   float64
-	slot     fair.Slot
-}
-
-// NewTicket returns a ticket with the estimated run time of its request. Once the ticket is queued, exactly one of
-// run and drop is called, once, unless the ticket is withdrawn.
-func NewTicket(class string, priority int, deadline time.Time, estimate time.Duration, run, drop func()) *Ticket {
-	return &Ticket{class: class, priority: priority, deadline: deadline, estimate: estimate, run: run, drop: drop, weight: 1}
-}
-
-// WithUsefulBy sets until when an answer to the request has its full value, the zero time if only the deadline counts. It
-// returns the ticket.
-func (t *Ticket) WithUsefulBy(usefulBy time.Time) *Ticket { t.usefulBy = usefulBy; return t }
-
-// WithBegun sets whether the ticket belongs to a request of which a part has run, as a downstream call does. It returns the ticket.
-func (t *Ticket) WithBegun(begun bool) *Ticket { t.begun = begun; return t }
-
 // begunShare is how many times as much run time goes to tickets that have begun as to others while both wait. What has begun is
 // to be finished, but not at the price of starving others, which may be more urgent.
 const begunShare = 3
@@ -47,10 +16,6 @@
 // minRunTime is the run time that is assumed at least for a ticket.
 const minRunTime = time.Millisecond
 
-// busyLimitDivisor sets busyThreshold: once the limit divided by it, in tickets, waits in a class or above, the class
-// counts as busy and lower ones as held back.
-const busyLimitDivisor = 8
-
 // sweepInterval bounds how long a ticket that can no longer finish in time stays in the queue.
 const sweepInterval = 20 * time.Millisecond
 
@@ -347,13 +312,6 @@
 	}
 }
 
-// Counts returns the numbers of running and of waiting tickets.
-func (q *Queue) Counts() (running, waiting int) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.running, len(q.waiting)
-}
-
 // Wake makes the workers check the limit again, after it may have risen.
 func (q *Queue) Wake() { q.runnable.Broadcast() }
 
@@ -365,63 +323,3 @@
 	q.runnable.Broadcast()
 	q.nonEmpty.Broadcast()
 }
-
-// Running returns the number of tickets that run.
-func (q *Queue) Running() int {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.running
-}
-
-// InFlight returns the number of tickets that run or wait.
-func (q *Queue) InFlight() int {
-	running, waiting := q.Counts()
-	return running + waiting
-}
-
-// HoldsBack reports whether enough tickets of higher priorities wait (busyThreshold) that one of this priority is held
-// back.
-func (q *Queue) HoldsBack(priority int) bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	threshold := q.busyThreshold()
-	return len(q.waiting) >= threshold && q.waiting[threshold-1].priority > priority
-}
-
-// IsBusy reports whether enough tickets of this priority or above wait (busyThreshold) that the class counts as busy.
-func (q *Queue) IsBusy(priority int) bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.insertIndex(priority) >= q.busyThreshold()
-}
-
-// busyThreshold returns the number of waiting tickets from which a class counts as busy, and lower ones as held back.
-func (q *Queue) busyThreshold() int { return max(1, q.seams.Limit()/busyLimitDivisor) }
-
-// Depth is the number of waiting tickets of one class.
-type Depth struct {
-	class string
-	count int
-}
-
-// Class returns the name of the class.
-func (d Depth) Class() string { return d.class }
-
-// Count returns the number of waiting tickets, at least 1.
-func (d Depth) Count() int { return d.count }
-
-// Depths returns the waiting tickets by class, highest priority first, without the classes that have none.
-func (q *Queue) Depths() []Depth {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	var depths []Depth
-	for _, t := range q.waiting {
-		i := slices.IndexFunc(depths, func(d Depth) bool { return d.class == t.class })
-		if i < 0 {
-			depths = append(depths, Depth{class: t.class, count: 1})
-			continue
-		}
-		depths[i].count++
-	}
-	return depths
-}
