--- a/lib/call/request_test.go
+++ b/lib/call/request_test.go
@@ -8,8 +8,7 @@
 	"tamarackrudder.org/lib/call"
 )
 
-// TestFingerprints checks which requests are recognised as equal, and which of them as the same caller's. It guards against a
-// crashing request that is taken for the sound one of another caller, and against a resend through another node that is not known.
+// TestFingerprints guards against a crashing request that is taken for another caller's, and a resend that is taken for another request.
 func TestFingerprints(t *testing.T) {
 	request := func(target, body string) call.Request {
 		return call.NewRequest("1", "GET", target, "").WithBody(call.NewBody([]byte(body))).WithEntryService("desk")
--- a/lib/node/promise_test.go
+++ b/lib/node/promise_test.go
@@ -132,8 +132,7 @@
 	is.True(total <= 2) // crashes of backend servers from one fingerprint
 }
 
-// TestCrashingRequestOfOneCallerIsStopped guards against a crashing request that is never stopped, because another service sends
-// one with the same content that is sound; that one is served all the while.
+// TestCrashingRequestOfOneCallerIsStopped guards against a crashing request that a sound one of another service keeps from being stopped.
 func TestCrashingRequestOfOneCallerIsStopped(t *testing.T) {
 	const crashing, sound = "desk", "shop"
 	is := is.New(t)
--- a/lib/roster/outage_test.go
+++ b/lib/roster/outage_test.go
@@ -128,8 +128,7 @@
 	is.Equal(len(listed(t, p.cut)), 1)
 }
 
-// TestQuietTimeIsNoOutage guards against an endpoint that has left and counts for a grace period, because the platform had not been
-// read for long before one call to it failed.
+// TestQuietTimeIsNoOutage guards against an outage that is counted from the last answer, and not from the first failed call.
 func TestQuietTimeIsNoOutage(t *testing.T) {
 	const quiet = 27 * time.Second
 	tests := []struct {
@@ -156,8 +155,7 @@
 	}
 }
 
-// TestOneUnansweredCallIsNoOutage guards against one broken connection that is taken for an outage, and against an outage that is
-// counted from a later failure than the first.
+// TestOneUnansweredCallIsNoOutage guards against one broken connection that is taken for an outage.
 func TestOneUnansweredCallIsNoOutage(t *testing.T) {
 	is := is.New(t)
 	p := newPair(0)
