--- a/review/stand3/poison.go
+++ b/review/stand3/poison.go
@@ -112,18 +112,7 @@
 		time.Sleep(500 * time.Millisecond)
 	}
 	wait.Wait()
-	seen.mu.Lock()
-	defer seen.mu.Unlock()
-	rec.say("%d of %d other requests served; the request crashed %d endpoints, and reached endpoints in %d retries later than 3 s after "+
-		"the third crash", served.Load(), sent.Load(), len(seen.crashes), seen.retries)
-	if served.Load() < sent.Load()/2 {
-		rec.say("not run: too few requests were served")
-		return notRun
-	}
-	if seen.retries > retriesMost {
-		return broken
-	}
-	return held
+	return seen.judge(rec, served.Load(), sent.Load())
 }
 
 func randomName() string {
