--- a/review/stand3/poison.go
+++ b/review/stand3/poison.go
@@ -46,6 +46,22 @@
 	}
 }
 
+// judge says whether the request has reached endpoints too often, given how many other requests were served.
+func (l *poisonLog) judge(rec *record, served, sent int64) outcome {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	rec.say("%d of %d other requests served; the request crashed %d endpoints, and reached endpoints in %d retries later than 3 s after "+
+		"the third crash", served, sent, len(l.crashes), l.retries)
+	if served < sent/2 {
+		rec.say("not run: too few requests were served")
+		return notRun
+	}
+	if l.retries > retriesMost {
+		return broken
+	}
+	return held
+}
+
 // poison sends a request that crashes each endpoint that begins to run it, again and again. For some seconds one endpoint fails
 // all requests with 500 while its health probe is good, this one too.
 func poison(rec *record, trouble bool) outcome {
