--- a/review/stand3/endpoint.go
+++ b/review/stand3/endpoint.go
@@ -26,15 +26,19 @@
 	// work runs a request that has a slot. It returns the status and the body of the answer, and false if the endpoint ends.
 	work func(ctx context.Context, e *endpoint, r *http.Request, body []byte) (status int, answer []byte, alive bool)
 
+	// arrived is told of each request but health probes; it may be nil.
+	arrived func(e *endpoint, attempt string)
+
 	mu       sync.Mutex
 	id       string
 	born     time.Time
 	beats    int
 	server   *http.Server
 	free     chan struct{}
-	waiting  int
 	running  int
 	starting bool
+	leftAt   time.Time // when the store has accepted that this boot leaves, zero before
+	queue    chan struct{}
 }
 
 func startEndpoint(h *host, slots int, behaviour func(*endpoint)) (*endpoint, error) {
@@ -59,8 +63,8 @@
 	number := boots
 	bootsMu.Unlock()
 	e.mu.Lock()
-	e.id, e.born, e.beats, e.waiting, e.running = fmt.Sprintf("i-%08x", number), time.Now(), 0, 0, 0
-	e.free = make(chan struct{}, e.slots)
+	e.id, e.born, e.beats, e.running, e.leftAt = fmt.Sprintf("i-%08x", number), time.Now(), 0, 0, time.Time{}
+	e.free, e.queue = make(chan struct{}, e.slots), make(chan struct{}, e.slots)
 	e.server = &http.Server{Handler: http.HandlerFunc(e.serve), IdleTimeout: 10 * time.Second}
 	server, id := e.server, e.id
 	e.mu.Unlock()
@@ -82,9 +86,7 @@
 			return
 		}
 		e.beats++
-		entry := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":"ready",`+
-			`"cold_remaining_ms":0,"sequence":%d,"born":%d}`, e.host.service, e.host.fleet.addr(e.host.ip, portApp), e.host.zone,
-			e.slots, e.beats, e.born.UnixMilli())
+		entry := e.entry("ready")
 		first := e.beats == 1
 		e.mu.Unlock()
 		if first { // the entry changes when more than the sequence changes
@@ -94,6 +96,27 @@
 	}
 }
 
+// entry returns what the endpoint writes to the store; the caller holds the lock.
+func (e *endpoint) entry(state string) string {
+	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":%q,`+
+		`"cold_remaining_ms":0,"sequence":%d,"born":%d}`, e.host.service, e.host.fleet.addr(e.host.ip, portApp), e.host.zone,
+		e.slots, state, e.beats, e.born.UnixMilli())
+}
+
+// drain reports that the endpoint is draining. It serves for some time more, then ends, and another boot follows.
+func (e *endpoint) drain(serves, pause time.Duration) {
+	e.mu.Lock()
+	id := e.id
+	e.host.fleet.store.put("servers/"+id, e.entry("draining"))
+	e.leftAt = time.Now()
+	e.mu.Unlock()
+	e.host.fleet.record.line("endpoint %s at %s is draining", id, e.host.ip)
+	time.AfterFunc(serves, func() {
+		e.host.fleet.store.remove("servers/" + id)
+		e.crash(pause)
+	})
+}
+
 // crash ends the endpoint at once; it is back after a while.
 func (e *endpoint) crash(down time.Duration) {
 	e.mu.Lock()
@@ -127,6 +150,9 @@
 	attempt := r.Header.Get(headerAttempt)
 	w.Header().Set(headerAttempt, attempt)
 	w.Header().Set("Keep-Alive", "timeout=10")
+	if e.arrived != nil {
+		e.arrived(e, attempt)
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -142,9 +168,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(ms*float64(time.Millisecond)))
 	defer cancel()
-	select {
-	case free <- struct{}{}:
-	default:
+	if !e.acquire(ctx, free) {
 		e.refuse(w, attempt, http.StatusServiceUnavailable)
 		return
 	}
@@ -168,6 +192,25 @@
 	_, _ = w.Write(answer)
 }
 
+// acquire takes a slot. As many requests as there are slots may wait for one.
+func (e *endpoint) acquire(ctx context.Context, free chan struct{}) bool {
+	e.mu.Lock()
+	queue := e.queue
+	e.mu.Unlock()
+	select {
+	case queue <- struct{}{}:
+		defer func() { <-queue }()
+	default:
+		return false
+	}
+	select {
+	case free <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 func (e *endpoint) refuse(w http.ResponseWriter, attempt string, status int) {
 	e.host.fleet.record.line("not run %s at %s: %d", attempt, e.host.ip, status)
 	w.Header().Set(headerNotRun, "1")
--- a/review/stand3/fleet.go
+++ b/review/stand3/fleet.go
@@ -36,6 +36,7 @@
 type host struct {
 	fleet    *fleet
 	ip       string
+	storeIP  string // at which the store listens for this host alone
 	zone     string
 	service  string
 	endpoint *endpoint
@@ -65,18 +66,21 @@
 	}
 	f := &fleet{store: newStore(), folder: folder, record: rec, begin: time.Now()}
 	net2 := 16 + rand.IntN(200)
-	storeIP := fmt.Sprintf("127.%d.0.2", net2)
 	for i, s := range specs {
-		f.hosts = append(f.hosts, &host{fleet: f, ip: fmt.Sprintf("127.%d.1.%d", net2, i+1), zone: s.zone, service: s.service})
+		f.hosts = append(f.hosts, &host{
+			fleet: f, ip: fmt.Sprintf("127.%d.1.%d", net2, i+1), storeIP: fmt.Sprintf("127.%d.2.%d", net2, i+1), zone: s.zone, service: s.service,
+		})
 	}
-	if err := f.choosePorts(storeIP); err != nil {
+	if err := f.choosePorts(); err != nil {
 		return nil, err
 	}
-	listener, err := net.Listen("tcp", f.addr(storeIP, portStore))
-	if err != nil {
-		return nil, err
+	for _, h := range f.hosts {
+		listener, err := net.Listen("tcp", h.storeAddr())
+		if err != nil {
+			return nil, err
+		}
+		go f.store.serve(listener)
 	}
-	go f.store.serve(listener)
 	f.store.put("op/config", config)
 	for i, h := range f.hosts {
 		if h.endpoint, err = startEndpoint(h, specs[i].slots, behaviour); err != nil {
@@ -84,7 +88,7 @@
 		}
 	}
 	for _, h := range f.hosts {
-		if err := h.startNode(f.addr(storeIP, portStore)); err != nil {
+		if err := h.startNode(); err != nil {
 			f.end()
 			return nil, err
 		}
@@ -93,12 +97,12 @@
 }
 
 // choosePorts finds a first port with which all ports of all hosts are free.
-func (f *fleet) choosePorts(storeIP string) error {
+func (f *fleet) choosePorts() error {
 	for range 50 {
 		f.firstPort = 20000 + 10*rand.IntN(1000)
 		free := true
 		for port := range portRange + 1 {
-			for _, ip := range append([]string{storeIP}, f.ips()...) {
+			for _, ip := range f.ips() {
 				l, err := net.Listen("tcp", f.addr(ip, port))
 				if err != nil {
 					free = false
@@ -117,7 +121,7 @@
 func (f *fleet) ips() []string {
 	var ips []string
 	for _, h := range f.hosts {
-		ips = append(ips, h.ip)
+		ips = append(ips, h.ip, h.storeIP)
 	}
 	return ips
 }
@@ -138,7 +142,9 @@
 	}
 }
 
-func (h *host) settings(storeAddr string) string {
+func (h *host) storeAddr() string { return h.fleet.addr(h.storeIP, portStore) }
+
+func (h *host) settings() string {
 	f := h.fleet
 	bounds, _ := json.Marshal([]string{
 		"seed_lag_s=3", "addr_reuse_s=2", "contact_ms=3000", "ack_ms=4000", "catch_up_s=4", "drain_ms=2000",
@@ -166,16 +172,16 @@
 service: %q
 platform: {address: %q, form: "read", reads_per_s: 2000, history_s: 20, value_bytes: 1048576}
 `, h.ip, h.ip, h.zone, f.addr(h.ip, portInbound), f.addr(h.ip, portOutbound), f.addr(h.ip, portReady),
-		f.firstPort+portRange, f.firstPort+portRange, bounds, f.addr(h.ip, portApp), h.service, storeAddr)
+		f.firstPort+portRange, f.firstPort+portRange, bounds, f.addr(h.ip, portApp), h.service, h.storeAddr())
 }
 
 // startNode starts the node with the command of the deploy file.
-func (h *host) startNode(storeAddr string) error {
+func (h *host) startNode() error {
 	path := filepath.Join(h.fleet.folder, h.ip+".yaml")
-	if err := os.WriteFile(path, []byte(h.settings(storeAddr)), 0o600); err != nil {
+	if err := os.WriteFile(path, []byte(h.settings()), 0o600); err != nil {
 		return err
 	}
-	out, err := os.Create(filepath.Join(h.fleet.folder, h.ip+".log"))
+	out, err := os.OpenFile(filepath.Join(h.fleet.folder, h.ip+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/review/stand3/leave.go
@@ -0,0 +1,156 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	leaveDrain  = 2 * time.Second // drain_ms
+	leaveServes = 5 * time.Second // an endpoint serves for drain_ms after its report, at times many seconds longer
+	leaveDown   = 2 * time.Second
+	leaveRounds = 8
+	leaveTries  = 8
+	leaveEvery  = 9500 * time.Millisecond
+	leaveWork   = 600 * time.Millisecond
+	leaveSlots  = 20
+	leaveBurst  = 1.7
+)
+
+var leaveServices = []string{"cash", "desk", "book", "shop"}
+
+func leaveConfig(version int) string {
+	var services []string
+	for _, s := range leaveServices {
+		services = append(services, fmt.Sprintf(`[%q,"/health",220,"h1",false]`, s))
+	}
+	return fmt.Sprintf(`{"version":"r%d",`, version) + `"routes":{"columns":["name","hostname","prefix","route_type","timeout_ms","target_latency_ms",` +
+		`"priority","traffic_split","max_attempts","service"],"rows":[["r-1","desk.example","/fee/","safe",4000,2000,1,null,2,"cash"]]},` +
+		`"services":{"columns":["name","health_path","max_connections","protocol","tls"],"rows":[` + strings.Join(services, ",") + `]},` +
+		`"limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
+}
+
+// leaveFleet starts fleets, with other addresses each, until one node beside the endpoints of the service doesn't watch the store and
+// the others do.
+func leaveFleet(rec *record, specs []hostSpec, behaviour func(*endpoint)) (*fleet, *host, error) {
+	for range leaveTries {
+		f, err := newFleet(rec, specs, leaveConfig(7), behaviour)
+		if err != nil {
+			return nil, nil, err
+		}
+		if err := f.awaitReady(); err != nil {
+			f.end()
+			return nil, nil, err
+		}
+		f.store.put("op/config", leaveConfig(8)) // the watches that wait return, and only the watchers come again
+		time.Sleep(1500 * time.Millisecond)
+		watchers := f.store.watchers()
+		isWatcher := func(h *host) bool { return slices.Contains(watchers, h.storeAddr()) }
+		others := slices.DeleteFunc(slices.Clone(f.hosts[:3]), isWatcher)
+		if len(others) == 1 {
+			return f, others[0], nil
+		}
+		f.end()
+	}
+	return nil, nil, fmt.Errorf("no fleet with the watchers wanted")
+}
+
+// leave kills the nodes that watch the store, at the moment at which an endpoint begins to leave.
+func leave(rec *record, trouble bool) outcome {
+	var specs []hostSpec
+	for _, service := range leaveServices {
+		for _, zone := range []string{"a", "b", "c"} {
+			specs = append(specs, hostSpec{zone: zone, service: service, slots: leaveSlots})
+		}
+	}
+	var late, longest atomic.Int64
+	behaviour := func(e *endpoint) {
+		e.work = func(ctx context.Context, _ *endpoint, _ *http.Request, _ []byte) (int, []byte, bool) {
+			return sleep(ctx, leaveWork), []byte("settled"), true
+		}
+		e.arrived = func(e *endpoint, attempt string) {
+			e.mu.Lock()
+			left := e.leftAt
+			e.mu.Unlock()
+			if left.IsZero() {
+				return
+			}
+			longest.Store(max(longest.Load(), time.Since(left).Milliseconds()))
+			if time.Since(left) > leaveDrain {
+				late.Add(1)
+				rec.line("late: %s reaches %s %.3f s after the store has accepted that it leaves", attempt, e.host.ip, time.Since(left).Seconds())
+			}
+		}
+	}
+	f, leaver, err := leaveFleet(rec, specs, behaviour)
+	if err != nil {
+		rec.say("not run: %v", err)
+		return notRun
+	}
+	defer f.end()
+	var served, sent atomic.Int64
+	var wait sync.WaitGroup
+	stop := time.Now().Add(leaveRounds * leaveEvery)
+	var isDown [12]atomic.Bool
+	var burst atomic.Bool
+	for i, h := range f.hosts {
+		client := newClient()
+		wait.Go(func() {
+			var open sync.WaitGroup
+			for time.Now().Before(stop) {
+				pause := float64(130+rand.IntN(30)) * float64(time.Millisecond)
+				if burst.Load() {
+					pause /= leaveBurst
+				}
+				time.Sleep(time.Duration(pause))
+				if isDown[i].Load() {
+					continue
+				}
+				open.Go(func() {
+					sent.Add(1)
+					if f.send(client, h, http.MethodGet, "desk.example", "/fee/"+randomName(), nil, 4*time.Second).status == http.StatusOK {
+						served.Add(1)
+					}
+				})
+			}
+			open.Wait()
+		})
+	}
+	for round := range leaveRounds {
+		time.Sleep(leaveEvery - leaveServes)
+		watchers := f.store.watchers()
+		rec.line("round %d: %d nodes watch the store", round, len(watchers))
+		if trouble {
+			for i, h := range f.hosts {
+				if slices.Contains(watchers, h.storeAddr()) {
+					rec.line("kill %s", h.ip)
+					isDown[i].Store(true)
+					_ = h.node.Process.Kill()
+					<-h.ended
+					time.AfterFunc(leaveDown, func() {
+						_ = h.startNode()
+						time.AfterFunc(time.Second, func() { isDown[i].Store(false) })
+					})
+				}
+			}
+		}
+		burst.Store(trouble)
+		time.AfterFunc(3*time.Second, func() { burst.Store(false) })
+		leaver.endpoint.drain(leaveServes, 500*time.Millisecond)
+		time.Sleep(leaveServes)
+	}
+	wait.Wait()
+	rec.say("%d of %d requests served; %d reached an endpoint later than drain_ms after the store had accepted that it leaves; the last one reached one %d ms after",
+		served.Load(), sent.Load(), late.Load(), longest.Load())
+	if late.Load() > 0 {
+		return broken
+	}
+	return held
+}
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(rec *record, trouble bool) outcome{
 	"hang":   hang,
 	"poison": poison,
+	"leave":  leave,
 }
 
 func main() {
--- a/review/stand3/store.go
+++ b/review/stand3/store.go
@@ -29,10 +29,24 @@
 	events   []item
 	revision uint64
 	changed  chan struct{}
+	watching map[string]int // waiting watches, by the address of the listener that they came to
 }
 
 func newStore() *store {
-	return &store{items: map[string]item{}, revision: 1, changed: make(chan struct{})}
+	return &store{items: map[string]item{}, revision: 1, changed: make(chan struct{}), watching: map[string]int{}}
+}
+
+// watchers returns the addresses of the listeners at which watches wait.
+func (s *store) watchers() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var addrs []string
+	for addr, n := range s.watching {
+		if n > 0 {
+			addrs = append(addrs, addr)
+		}
+	}
+	return addrs
 }
 
 func (s *store) serve(l net.Listener) { _ = http.Serve(l, s) }
@@ -72,6 +86,10 @@
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	if local, ok := r.Context().Value(http.LocalAddrContextKey).(net.Addr); ok && r.URL.Path == "/kv-watch" {
+		s.countWatch(local.String(), 1)
+		defer s.countWatch(local.String(), -1)
+	}
 	for timedOut := false; ; {
 		s.mu.Lock()
 		status, body, ready := s.answer(r, timedOut)
@@ -93,6 +111,12 @@
 	}
 }
 
+func (s *store) countWatch(addr string, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watching[addr] += n
+}
+
 func (s *store) answer(r *http.Request, timedOut bool) (status int, body map[string]any, ready bool) {
 	query := r.URL.Query()
 	body = map[string]any{"at_rev": s.revision}
