--- a/review/stand3/leave.go
+++ b/review/stand3/leave.go
@@ -14,11 +14,11 @@
 
 const (
 	leaveDrain  = 2 * time.Second // drain_ms
-	leaveServes = 5 * time.Second // an endpoint serves for drain_ms after its report, at times many seconds longer
+	leaveServes = 4 * time.Second // an endpoint serves for drain_ms after its report, at times many seconds longer
 	leaveDown   = 2 * time.Second
-	leaveRounds = 8
-	leaveTries  = 8
-	leaveEvery  = 9500 * time.Millisecond
+	leaveRounds = 12
+	leaveTries  = 6
+	leaveEvery  = 7400 * time.Millisecond
 	leaveWork   = 600 * time.Millisecond
 	leaveSlots  = 20
 	leaveBurst  = 1.7
@@ -73,7 +73,8 @@
 	var late, longest atomic.Int64
 	behaviour := func(e *endpoint) {
 		e.work = func(ctx context.Context, _ *endpoint, _ *http.Request, _ []byte) (int, []byte, bool) {
-			return sleep(ctx, leaveWork), []byte("settled"), true
+			work := leaveWork/2 + rand.N(leaveWork) // 0.6 s in the mean
+			return sleep(ctx, work), []byte("settled"), true
 		}
 		e.arrived = func(e *endpoint, attempt string) {
 			e.mu.Lock()
