--- a/review/stand3/leave.go
+++ b/review/stand3/leave.go
@@ -14,14 +14,15 @@
 
 const (
 	leaveDrain  = 2 * time.Second // drain_ms
-	leaveServes = 4 * time.Second // an endpoint serves for drain_ms after its report, at times many seconds longer
+	leaveServes = 3 * time.Second // an endpoint serves for drain_ms after its report, at times many seconds longer
 	leaveDown   = 2 * time.Second
-	leaveRounds = 12
+	leaveRounds = 15
 	leaveTries  = 6
-	leaveEvery  = 7400 * time.Millisecond
+	leaveEvery  = 6200 * time.Millisecond
 	leaveWork   = 600 * time.Millisecond
 	leaveSlots  = 20
 	leaveBurst  = 1.7
+	leaveKilled = 8 // share 0.55 of 13 machines, rounded up
 )
 
 var leaveServices = []string{"cash", "desk", "book", "shop"}
@@ -62,6 +63,23 @@
 	return nil, nil, fmt.Errorf("no fleet with the watchers wanted")
 }
 
+// leaveChoose returns the machines to be killed: those whose nodes watch the store, and others up to the share, but not the one beside
+// the endpoint that leaves.
+func leaveChoose(f *fleet, leaver *host, watchers []string) []int {
+	var chosen, others []int
+	for i, h := range f.hosts {
+		switch {
+		case h == leaver:
+		case slices.Contains(watchers, h.storeAddr()):
+			chosen = append(chosen, i)
+		default:
+			others = append(others, i)
+		}
+	}
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return append(chosen, others[:max(0, leaveKilled-len(chosen))]...)
+}
+
 // leave kills the nodes that watch the store, at the moment at which an endpoint begins to leave.
 func leave(rec *record, trouble bool) outcome {
 	var specs []hostSpec
@@ -70,6 +88,7 @@
 			specs = append(specs, hostSpec{zone: zone, service: service, slots: leaveSlots})
 		}
 	}
+	specs = append(specs, hostSpec{zone: "a", service: "shop", slots: leaveSlots})
 	var late, longest atomic.Int64
 	behaviour := func(e *endpoint) {
 		e.work = func(ctx context.Context, _ *endpoint, _ *http.Request, _ []byte) (int, []byte, bool) {
@@ -99,7 +118,7 @@
 	var served, sent atomic.Int64
 	var wait sync.WaitGroup
 	stop := time.Now().Add(leaveRounds * leaveEvery)
-	var isDown [12]atomic.Bool
+	isDown := make([]atomic.Bool, len(f.hosts))
 	var burst atomic.Bool
 	for i, h := range f.hosts {
 		client := newClient()
@@ -129,17 +148,16 @@
 		watchers := f.store.watchers()
 		rec.line("round %d: %d nodes watch the store", round, len(watchers))
 		if trouble {
-			for i, h := range f.hosts {
-				if slices.Contains(watchers, h.storeAddr()) {
-					rec.line("kill %s", h.ip)
-					isDown[i].Store(true)
-					_ = h.node.Process.Kill()
-					<-h.ended
-					time.AfterFunc(leaveDown, func() {
-						_ = h.startNode()
-						time.AfterFunc(time.Second, func() { isDown[i].Store(false) })
-					})
-				}
+			for _, i := range leaveChoose(f, leaver, watchers) {
+				h := f.hosts[i]
+				rec.line("kill %s", h.ip)
+				isDown[i].Store(true)
+				_ = h.node.Process.Kill()
+				<-h.ended
+				time.AfterFunc(leaveDown, func() {
+					_ = h.startNode()
+					time.AfterFunc(time.Second, func() { isDown[i].Store(false) })
+				})
 			}
 		}
 		burst.Store(trouble)
