--- a/review/stand3/client.go
+++ b/review/stand3/client.go
@@ -38,8 +38,8 @@
 	defer cancel()
 	request, _ := http.NewRequestWithContext(ctx, method, "http://"+f.addr(h.ip, portOutbound)+path, bytes.NewReader(body))
 	request.Host = hostname
-	request.Header.Set(headerAttempt, a.id)
-	request.Header.Set(headerDeadline, strconv.FormatInt(limit.Milliseconds(), 10))
+	request.Header.Set(names.Attempt, a.id)
+	request.Header.Set(names.Deadline, strconv.FormatInt(limit.Milliseconds(), 10))
 	f.record.line("sent %s %s %s to %s, %d bytes", a.id, method, path, h.ip, len(body))
 	response, err := client.Do(request)
 	if err == nil {
--- a/review/stand3/endpoint.go
+++ b/review/stand3/endpoint.go
@@ -11,13 +11,7 @@
 	"time"
 )
 
-const (
-	headerAttempt  = "X-Attempt-Id"
-	headerDeadline = "X-Deadline-Ms"
-	headerInstance = "X-Expect-Instance"
-	headerNotRun   = "X-Not-Executed"
-	heartbeat      = 1500 * time.Millisecond
-)
+const heartbeat = 1500 * time.Millisecond
 
 // endpoint is a stand-in of an endpoint of the platform. It follows PROTOCOL; what a case adds is in its work function.
 type endpoint struct {
@@ -76,7 +70,7 @@
 
 // beat writes the endpoint's entry until this boot has ended. The entry is removed after three intervals of silence.
 func (e *endpoint) beat(id string) {
-	key := "servers/" + id
+	key := names.Entries + id
 	for {
 		e.mu.Lock()
 		if e.id != id {
@@ -98,8 +92,7 @@
 
 // entry returns what the endpoint writes to the store; the caller holds the lock.
 func (e *endpoint) entry(state string) string {
-	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":%q,`+
-		`"cold_remaining_ms":0,"sequence":%d,"born":%d}`, e.host.service, e.host.fleet.addr(e.host.ip, portApp), e.host.zone,
+	return fmt.Sprintf(entryFormat, e.host.service, e.host.fleet.addr(e.host.ip, portApp), e.host.zone,
 		e.slots, state, e.beats, e.born.UnixMilli())
 }
 
@@ -107,12 +100,12 @@
 func (e *endpoint) drain(serves, pause time.Duration) {
 	e.mu.Lock()
 	id := e.id
-	e.host.fleet.store.put("servers/"+id, e.entry("draining"))
+	e.host.fleet.store.put(names.Entries+id, e.entry("draining"))
 	e.leftAt = time.Now()
 	e.mu.Unlock()
 	e.host.fleet.record.line("endpoint %s at %s is draining", id, e.host.ip)
 	time.AfterFunc(serves, func() {
-		e.host.fleet.store.remove("servers/" + id)
+		e.host.fleet.store.remove(names.Entries + id)
 		e.crash(pause)
 	})
 }
@@ -147,8 +140,8 @@
 		w.Header().Set("X-Instance-Id", id)
 		return
 	}
-	attempt := r.Header.Get(headerAttempt)
-	w.Header().Set(headerAttempt, attempt)
+	attempt := r.Header.Get(names.Attempt)
+	w.Header().Set(names.Attempt, attempt)
 	w.Header().Set("Keep-Alive", "timeout=10")
 	if e.arrived != nil {
 		e.arrived(e, attempt)
@@ -157,12 +150,12 @@
 	if err != nil {
 		return
 	}
-	if wanted := r.Header.Get(headerInstance); wanted != "" && wanted != id {
+	if wanted := r.Header.Get(names.Instance); wanted != "" && wanted != id {
 		w.Header().Set("X-Instance-Id", id)
 		e.refuse(w, attempt, http.StatusMisdirectedRequest)
 		return
 	}
-	ms, err := strconv.ParseFloat(r.Header.Get(headerDeadline), 64)
+	ms, err := strconv.ParseFloat(r.Header.Get(names.Deadline), 64)
 	if err != nil {
 		ms = 60_000
 	}
@@ -185,8 +178,8 @@
 	if !alive {
 		panic(http.ErrAbortHandler)
 	}
-	w.Header().Set("X-Server-Load", fmt.Sprintf("%d,0,%d", running, e.slots))
-	w.Header().Set("X-Server-Stamp", id+"."+attempt)
+	w.Header().Set(names.Load, fmt.Sprintf("%d,0,%d", running, e.slots))
+	w.Header().Set(names.Stamp, id+"."+attempt)
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
 	w.WriteHeader(status)
 	_, _ = w.Write(answer)
@@ -213,7 +206,7 @@
 
 func (e *endpoint) refuse(w http.ResponseWriter, attempt string, status int) {
 	e.host.fleet.record.line("not run %s at %s: %d", attempt, e.host.ip, status)
-	w.Header().Set(headerNotRun, "1")
+	w.Header().Set(names.NotRun, "1")
 	w.WriteHeader(status)
 }
 
--- a/review/stand3/fleet.go
+++ b/review/stand3/fleet.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -81,7 +80,7 @@
 		}
 		go f.store.serve(listener)
 	}
-	f.store.put("op/config", config)
+	f.store.put(names.Config, config)
 	for i, h := range f.hosts {
 		if h.endpoint, err = startEndpoint(h, specs[i].slots, behaviour); err != nil {
 			return nil, err
@@ -146,33 +145,8 @@
 
 func (h *host) settings() string {
 	f := h.fleet
-	bounds, _ := json.Marshal([]string{
-		"seed_lag_s=3", "addr_reuse_s=2", "contact_ms=3000", "ack_ms=4000", "catch_up_s=4", "drain_ms=2000",
-		"grace_s=6", "loss_slack_ms=200", "config_apply_ms=2000", "rollback_slack_ms=250", "max_stretch_ms=5000",
-		"retry_budget_ratio=0.2", "retry_window_s=10", "retry_slack=47", "recovery_s=15",
-	})
-	return fmt.Sprintf(`node_name: %q
-role: "node"
-machine_class: "sidecar"
-serves: ["sidecar"]
-ip: %q
-zone: %q
-region: "region"
-listen: {inbound: %q, outbound: %q, ready: %q}
-port_range: [%d, %d]
-seed_nodes: []
-bootstrap: true
-limits: {cpu_share: 0.64, cpu_cores: 1, memory_mb: 284, max_fds: 4100, link_mbps: 1000.0, disk_mb: 0}
-data_dir: null
-discovery: "platform"
-entry_point: "static"
-heartbeat_ms: 1500
-bounds: %s
-app_addr: %q
-service: %q
-platform: {address: %q, form: "read", reads_per_s: 2000, history_s: 20, value_bytes: 1048576}
-`, h.ip, h.ip, h.zone, f.addr(h.ip, portInbound), f.addr(h.ip, portOutbound), f.addr(h.ip, portReady),
-		f.firstPort+portRange, f.firstPort+portRange, bounds, f.addr(h.ip, portApp), h.service, h.storeAddr())
+	return fmt.Sprintf(settingsFormat, h.ip, h.ip, h.zone, f.addr(h.ip, portInbound), f.addr(h.ip, portOutbound), f.addr(h.ip, portReady),
+		f.firstPort+portRange, f.firstPort+portRange, f.addr(h.ip, portApp), h.service, h.storeAddr())
 }
 
 // startNode starts the node with the command of the deploy file.
@@ -187,7 +161,7 @@
 	}
 	defer func() { _ = out.Close() }()
 	cmd := exec.Command("target/tamarackd", "platform")
-	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", "TAMARACKRUDDER_BOOT=" + path}
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", names.Boot + "=" + path}
 	cmd.Stdout, cmd.Stderr = out, out
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
--- a/review/stand3/leave.go
+++ b/review/stand3/leave.go
@@ -50,7 +50,7 @@
 			f.end()
 			return nil, nil, err
 		}
-		f.store.put("op/config", leaveConfig(8)) // the watches that wait return, and only the watchers come again
+		f.store.put(names.Config, leaveConfig(8)) // the watches that wait return, and only the watchers come again
 		time.Sleep(1500 * time.Millisecond)
 		watchers := f.store.watchers()
 		isWatcher := func(h *host) bool { return slices.Contains(watchers, h.storeAddr()) }
--- a/review/stand3/store.go
+++ b/review/stand3/store.go
@@ -86,7 +86,7 @@
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
-	if local, ok := r.Context().Value(http.LocalAddrContextKey).(net.Addr); ok && r.URL.Path == "/kv-watch" {
+	if local, ok := r.Context().Value(http.LocalAddrContextKey).(net.Addr); ok && r.URL.Path == names.Watch {
 		s.countWatch(local.String(), 1)
 		defer s.countWatch(local.String(), -1)
 	}
@@ -121,13 +121,13 @@
 	query := r.URL.Query()
 	body = map[string]any{"at_rev": s.revision}
 	switch r.URL.Path {
-	case "/kv-key":
+	case names.Key:
 		i, ok := s.items[query.Get("key")]
 		if !ok {
 			return http.StatusNotFound, body, true
 		}
 		body["key"], body["value"], body["revision"], body["created"], body["lease"] = i.Key, i.Value, i.Revision, i.Created, 0
-	case "/kv-range":
+	case names.Range:
 		found := []item{}
 		for _, key := range slices.Sorted(maps.Keys(s.items)) {
 			if key > query.Get("after") && strings.HasPrefix(key, query.Get("prefix")) {
@@ -135,7 +135,7 @@
 			}
 		}
 		body["items"], body["has_more"] = found, false
-	case "/kv-watch":
+	case names.Watch:
 		after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
 		events := []item{}
 		for _, e := range s.events {
