--- a/review/stand3/leave.go
+++ b/review/stand3/leave.go
@@ -126,12 +126,16 @@
 	stop := time.Now().Add(leaveRounds * leaveEvery)
 	isDown := make([]atomic.Bool, len(f.hosts))
 	var burst atomic.Bool
+	watching := f.store.watchers()
 	for i, h := range f.hosts {
+		if slices.Contains(watching, h.storeAddr()) {
+			continue // the clients stand on the other machines
+		}
 		client := newClient()
 		wait.Go(func() {
 			var open sync.WaitGroup
 			for time.Now().Before(stop) {
-				pause := float64(130+rand.IntN(30)) * float64(time.Millisecond)
+				pause := float64(70+rand.IntN(16)) * float64(time.Millisecond)
 				if burst.Load() {
 					pause /= leaveBurst
 				}
