--- a/review/stand3/leave.go
+++ b/review/stand3/leave.go
@@ -22,7 +22,6 @@
 	leaveEvery  = 6200 * time.Millisecond
 	leaveWork   = 600 * time.Millisecond
 	leaveSlots  = 20
-	leaveBurst  = 1.7
 	leaveKilled = 8 // share 0.55 of 13 machines, rounded up
 )
 
@@ -124,25 +123,16 @@
 	var served, sent atomic.Int64
 	var wait sync.WaitGroup
 	stop := time.Now().Add(leaveRounds * leaveEvery)
-	isDown := make([]atomic.Bool, len(f.hosts))
-	var burst atomic.Bool
-	watching := f.store.watchers()
+	herd := leaveChoose(f, leaver, f.store.watchers())
 	for i, h := range f.hosts {
-		if slices.Contains(watching, h.storeAddr()) {
+		if slices.Contains(herd, i) {
 			continue // the clients stand on the other machines
 		}
 		client := newClient()
 		wait.Go(func() {
 			var open sync.WaitGroup
 			for time.Now().Before(stop) {
-				pause := float64(70+rand.IntN(16)) * float64(time.Millisecond)
-				if burst.Load() {
-					pause /= leaveBurst
-				}
-				time.Sleep(time.Duration(pause))
-				if isDown[i].Load() {
-					continue
-				}
+				time.Sleep(50*time.Millisecond + rand.N(12*time.Millisecond))
 				open.Go(func() {
 					sent.Add(1)
 					if f.send(client, h, http.MethodGet, "desk.example", "/fee/"+randomName(), nil, 4*time.Second).status == http.StatusOK {
@@ -155,23 +145,16 @@
 	}
 	for round := range leaveRounds {
 		time.Sleep(leaveEvery - leaveServes)
-		watchers := f.store.watchers()
-		rec.line("round %d: %d nodes watch the store", round, len(watchers))
+		rec.line("round %d: %d nodes watch the store", round, len(f.store.watchers()))
 		if trouble {
-			for _, i := range leaveChoose(f, leaver, watchers) {
+			for _, i := range herd {
 				h := f.hosts[i]
 				rec.line("kill %s", h.ip)
-				isDown[i].Store(true)
 				_ = h.node.Process.Kill()
 				<-h.ended
-				time.AfterFunc(leaveDown, func() {
-					_ = h.startNode()
-					time.AfterFunc(time.Second, func() { isDown[i].Store(false) })
-				})
+				time.AfterFunc(leaveDown, func() { _ = h.startNode() })
 			}
 		}
-		burst.Store(trouble)
-		time.AfterFunc(3*time.Second, func() { burst.Store(false) })
 		leaver.endpoint.drain(leaveServes, 500*time.Millisecond)
 		time.Sleep(leaveServes)
 	}
